Leave out calls for repeats before those for first tries when the counter is crowded

The design leaves calls out when many of late have failed; it did so for any request alike.

What it leaves out is refused, since the local share of one of 60 gateways is less than a request. Refused requests come again, 2.4 tries each, at a gateway that has not heard that the quota is used up: a third of the 12,000 calls for units were granted nothing, nearly all for repeats.

Ruled out: that late answers are the loss.

At fault: crowded(), which drew alike for first tries and repeats.

Where clients mark no repeats nothing changes.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -141,6 +141,11 @@
 	if c.LateWorth == 0 && c.AimStretch == 0 {
 		j.giveUp = min(j.giveUp, r.Sent+c.Aim-g.elapsed(r, c))
 	}
+	repeat := 0.0
+	if r.Repeat {
+		repeat = 1
+	}
+	g.repeats += crowdGain * (repeat - g.repeats)
 	g.jobs[r.ID] = j
 	g.arrived[j.level]++
 	who := g.customerOf(r)
@@ -762,7 +767,7 @@
 		return c.open < c.terms.share
 	case c.open >= c.terms.places: // others need not be asked
 	case c.askingPlace == 0 && g.now >= c.slotAfter && math.Mod(g.now, slotWindowLen) > 2*houseGap &&
-		!g.crowded(c):
+		!g.crowded(c, c.waiting[0].Repeat):
 		g.slotWindow(c)
 		want := float64(min(len(c.waiting), c.terms.places))
 		g.count(call{customer: c, name: c.slotName, units: want, slot: true}, nameKeep)
@@ -853,9 +858,17 @@
 	return floor
 }
 
-// crowded leaves a call out, the more often the more of late have failed.
-func (g *Gateway) crowded(c *customer) bool {
-	if g.rng.Float64() >= min(crowdFactor*g.crowd, crowdMost) {
+// crowded leaves a call out, the more often the more of late have failed. Danger: each gateway learns for
+// itself that a customer's quota is used up, and a client that was refused for it comes again elsewhere, so
+// most calls of a crowd are for repeats, and get nothing. Those are left out before any first try's.
+func (g *Gateway) crowded(c *customer, repeat bool) bool {
+	out := min(crowdFactor*g.crowd, crowdMost)
+	if repeat {
+		out = min(out/max(g.repeats, crowdGain), crowdMost)
+	} else {
+		out = max(out-g.repeats, 0) / max(1-g.repeats, crowdGain)
+	}
+	if g.rng.Float64() >= out {
 		return false
 	}
 	c.restTill = g.now + counterRest
@@ -864,7 +877,7 @@
 
 // lease asks for a block, and tells what has been spent from the local share in this window.
 func (g *Gateway) lease(c *customer) {
-	if g.crowded(c) {
+	if g.crowded(c, c.waiting[0].Repeat) {
 		return
 	}
 	need := 0.0
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -978,3 +978,35 @@
 		})
 	}
 }
+
+// A client refused for a used-up quota comes again at a gateway that has not heard of it; in a crowd, its
+// calls make room for those of first tries.
+func TestCrowdLeavesOutCallsForRepeatsFirst(t *testing.T) {
+	d := start(t, testSettings(), some(30)...)
+	tries, asked, calls := [2]int{}, [2]int{}, 0
+	for i := range 4000 {
+		d.now += 0.002
+		repeat := i % 2
+		out := d.handle(Request{ID: RequestID(i + 1), Customer: CustomerID(i), Units: 1, Gateways: 50,
+			Deadline: d.now + 2, Repeat: repeat == 1})
+		made := find[Count](out)
+		for _, c := range made {
+			reply := CounterReply{Name: c.Name, Total: c.Amount}
+			if calls++; calls%10 == 0 {
+				reply.Outcome = TimedOut // the counter bears nine in ten
+			}
+			out = append(out, d.handle(reply)...)
+		}
+		for _, s := range find[Send](out) {
+			d.handle(AttemptEnd{Request: s.Request, Backend: s.Backend, Outcome: Served, Took: 0.01})
+		}
+		if i >= 2000 {
+			tries[repeat]++
+			asked[repeat] += min(len(made), 1)
+		}
+	}
+	first, again := float64(asked[0])/float64(tries[0]), float64(asked[1])/float64(tries[1])
+	if first < 0.9 || again > 0.5 || again == 0 {
+		t.Errorf("calls for %.2f of the first tries and %.2f of the repeats, want nearly all and a few", first, again)
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -36,6 +36,7 @@
 	latency, spread   float64 // mean of answers and its mean deviation
 	retries           float64 // saved up
 	crowd             float64 // share of counter calls that fail
+	repeats           float64 // share of tries that are a client's further ones
 	warmRate          float64 // own sends a second to a warm backend
 	warmSent          int
 	lastHouse         float64
