Give each gateway its own places under an open cap in place of leasing them

The design leaves holding a cap on requests open at once to us.

An ask that finds no place counts as a place taken until it is put back, so gateways that ask at once all find none.

At fault: place(), slotWindow(), placed(), leavePlaces(). Now the limit is dealt over the gateways of the customer, as it was already while the counter was silent. One with no place refuses at once and says to come back after a mean answer; its client comes by another.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -42,12 +42,9 @@
 	crowdFactor  = 4.0  // so many times that share of calls are left out: a crowded counter gets air
 	crowdMost    = 0.9
 
-	// Leases of places for attempts out at once.
-	slotSalt      = 1 << 40
-	placeUse      = 0.65 // mean use of the places, where they are kept as a rate
-	placeWindow   = 1.0  // seconds of the window for that
-	slotWindowLen = 10.0 // seconds; what a dead gateway held comes free by then
-	slotRetry     = 0.03 // seconds until the next call when all places are taken
+	// Places for attempts out at once.
+	placeUse    = 0.65 // mean use of the places, where they are kept as a rate
+	placeWindow = 1.0  // seconds of the window for that
 
 	// Health of a backend.
 	failGain   = 0.25 // weight of the newest outcome in the failure share
@@ -445,6 +442,9 @@
 			advice = g.set.MaxAdvice
 		} else if g.set.CanAdvise {
 			advice = min(g.set.MaxAdvice, max(j.customer.dryUntil-g.now, 0))
+			if t := j.customer.terms; t.places > 0 && t.share == 0 {
+				advice = min(g.set.MaxAdvice, g.latency) // another gateway may have a place by then
+			}
 		}
 		g.do(Refuse{Request: j.ID, RetryAfter: advice})
 	} else {
@@ -633,7 +633,6 @@
 		if g.now >= c.expires {
 			c.units = min(c.units, 0) // nobody came for them; the next window makes up for it
 		}
-		g.leavePlaces(c)
 		if g.now-c.seen > idleDrop && c.open == 0 && c.inCalls == 0 && len(c.waiting) == 0 {
 			delete(g.customers, c.id)
 			continue
@@ -718,8 +717,14 @@
 	limited := c.terms.rate > 0
 	for len(c.waiting) > 0 {
 		j := c.waiting[0]
-		if c.terms.places > 0 && !g.place(c) {
-			return // a place may come free before its time is over
+		if c.terms.places > 0 && c.open >= c.terms.share {
+			if c.terms.share > 0 {
+				return // a place may come free before its time is over
+			}
+			// Danger: were places leased, each gateway's asks would look to the others like places that are
+			// taken, and crowd the counter. So each has its own, and a client comes to another gateway.
+			g.giveBack(j)
+			continue
 		}
 		if limited {
 			g.roll(c)
@@ -757,75 +762,6 @@
 	}
 }
 
-// place tells whether one more request of c may be let in under its plan's limit on attempts out at once.
-// Places are leased from the counter one call at a time and go back when nobody waits for them.
-func (g *Gateway) place(c *customer) bool {
-	switch {
-	case c.open < c.slots:
-		return true
-	case !g.set.Counter || g.now < c.restTill:
-		return c.open < c.terms.share
-	case c.open >= c.terms.places: // others need not be asked
-	case c.askingPlace == 0 && g.now >= c.slotAfter && math.Mod(g.now, slotWindowLen) > 2*houseGap &&
-		!g.crowded(c, c.waiting[0].Repeat):
-		g.slotWindow(c)
-		want := float64(min(len(c.waiting), c.terms.places))
-		g.count(call{customer: c, name: c.slotName, units: want, slot: true}, nameKeep)
-	}
-	return false
-}
-
-// slotWindow moves held places to the present name. Places that a gateway took with it when it died, or
-// that a lost reply left behind, end with the old.
-func (g *Gateway) slotWindow(c *customer) {
-	name := hash(hash(uint64(c.id)^slotSalt) + uint64(g.now/slotWindowLen))
-	if name == c.slotName {
-		return
-	}
-	c.slotName = name
-	if c.slots > 0 {
-		g.count(call{customer: c, name: name, fill: float64(c.slots), slot: true}, nameKeep)
-	}
-}
-
-// placed takes the answer to a call for places and adds back what is too many.
-func (g *Gateway) placed(c *customer, k call, total float64) {
-	over := min(max(math.Ceil(total)-float64(c.terms.places), 0), k.units)
-	c.slots += int(k.units - over)
-	if over > 0 {
-		c.slotAfter = g.now + slotRetry
-		g.count(call{customer: c, name: k.name, fill: -over, slot: true}, nameKeep)
-	}
-}
-
-// placedLate does the same where the answer came after the call was given up. Danger: places that were
-// added and that nobody uses are missing to all gateways until their window ends, and a few such calls take
-// the whole of a small limit.
-func (g *Gateway) placedLate(c *customer, k call, e CounterLate) {
-	if k.name != c.slotName || k.units <= 0 {
-		return
-	}
-	switch e.Outcome {
-	case Served:
-		c.rest, c.restTill = 0, g.now
-		g.placed(c, k, e.Total)
-		g.admit(c)
-	case Errored:
-		g.count(call{customer: c, name: k.name, fill: -k.units, slot: true}, nameKeep)
-	}
-}
-
-// leavePlaces gives places back that nobody here has used for a moment.
-func (g *Gateway) leavePlaces(c *customer) {
-	if c.slots > 0 {
-		g.slotWindow(c) // what is held is told before anyone asks in the new window
-	}
-	if spare := c.slots - c.open; spare > 0 && g.now >= max(c.restTill, c.seen+houseGap) {
-		c.slots -= spare
-		g.count(call{customer: c, name: c.slotName, fill: -float64(spare), slot: true}, nameKeep)
-	}
-}
-
 // takeLocal spends from the customer's share at this gateway.
 func (c *customer) takeLocal(now, units float64) bool {
 	c.local = min(c.local+c.terms.localRate*(now-c.localAt), c.terms.localBurst)
@@ -863,9 +799,11 @@
 // most calls of a crowd are for repeats, and get nothing. Those are left out before any first try's.
 func (g *Gateway) crowded(c *customer, repeat bool) bool {
 	out := min(crowdFactor*g.crowd, crowdMost)
-	if repeat {
+	switch {
+	case c.terms.exact: // of few gateways, this one knows what is used up
+	case repeat:
 		out = min(out/max(g.repeats, crowdGain), crowdMost)
-	} else {
+	default:
 		out = max(out-g.repeats, 0) / max(1-g.repeats, crowdGain)
 	}
 	if g.rng.Float64() >= out {
@@ -908,39 +846,31 @@
 	}
 	c := k.customer
 	g.crowd -= crowdGain * g.crowd
-	if (e.Outcome == TimedOut || e.Outcome == Broken) && !k.slot && k.window == c.window {
+	if (e.Outcome == TimedOut || e.Outcome == Broken) && k.window == c.window {
 		c.doubt += k.units + math.Abs(k.fill)
-	}
-	if e.Outcome == TimedOut && (k.slot || k.window == c.window) {
-		g.lost = append(g.lost[max(len(g.lost)+1-lostMost, 0):], k)
+		if e.Outcome == TimedOut {
+			g.lost = append(g.lost[max(len(g.lost)+1-lostMost, 0):], k)
+		}
 	}
 	switch {
 	case e.Outcome == Errored || e.Outcome == Broken:
 		// Danger: a spoilt answer or connection says nothing of a crowd. Were it taken for one, calls would be
 		// left out that the counter bears, and customers refused inside their quotas.
-		if e.Outcome == Errored && k.slot && k.units > 0 {
-			g.count(call{customer: c, name: k.name, fill: -k.units, slot: true}, nameKeep)
-		} else if e.Outcome == Errored {
+		if e.Outcome == Errored {
 			c.takeBack(k)
 		}
 		c.restTill = g.now + c.rest // the first time none at all
 		c.rest = min(max(2*c.rest, counterRest), counterMost)
-	case k.slot && e.Outcome == Served && k.units > 0:
-		g.placed(c, k, e.Total)
 	case e.Outcome != Served:
-		// Danger: a place or a unit that was not given back is missing to all gateways. A call turned
-		// away has changed nothing and is made again; one unanswered may have counted and is let be.
-		switch {
-		case e.Outcome == TimedOut:
-		case k.slot && k.name == c.slotName:
-			c.slots += int(max(-k.fill, 0))
-		case !k.slot:
+		// Danger: a unit that was not given back is missing to all gateways. A call turned away has
+		// changed nothing and is made again; one unanswered may have counted and is let be.
+		if e.Outcome != TimedOut {
 			c.tellLater(k)
 		}
 		g.crowd += crowdGain
 		c.rest = min(max(2*c.rest, counterRest), counterMost)
 		c.restTill = g.now + c.rest
-	case k.units > 0 && !k.slot:
+	case k.units > 0:
 		c.rest = 0
 		g.granted(c, k, e.Total)
 	}
@@ -977,10 +907,6 @@
 	k := g.lost[at]
 	c := k.customer
 	g.lost = slices.Delete(g.lost, at, at+1)
-	if k.slot {
-		g.placedLate(c, k, e)
-		return
-	}
 	if k.window != c.window || e.Outcome == TimedOut || e.Outcome == Broken {
 		return
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -128,13 +128,8 @@
 	doubt          float64 // of this window's calls that may have been added, and of what they were to take back
 	inCalls        int     // calls out
 	asking         int     // of these for units
-	askingPlace    int     // of these for places
 	rest, restTill float64 // pause after a failed call
 	local, localAt float64 // own share, for when the counter is silent
-
-	slots     int // leased places for attempts out at once
-	slotName  uint64
-	slotAfter float64 // no call for a place before this
 }
 
 // call is one Count whose reply is due.
@@ -145,18 +140,14 @@
 	window   float64
 	floor    float64 // total at which the store is full
 	owed     float64 // spent already
-	fill     float64 // refill that nobody has used, written off; places told or given back
+	fill     float64 // refill that nobody has used, written off
 	units    float64 // asked for
-	slot     bool    // for places, not units
 }
 
 // pending keeps count of the calls that are out.
 func (c *customer) pending(k call, n int) {
 	c.inCalls += n
-	switch {
-	case k.units > 0 && k.slot:
-		c.askingPlace += n
-	case k.units > 0:
+	if k.units > 0 {
 		c.asking += n
 	}
 }
@@ -180,7 +171,7 @@
 	localRate, localBurst   float64
 	first                   float64 // block
 	places                  int
-	share                   int // of the places, without the counter
+	share                   int // of the places, this gateway's own
 }
 
 // makeRoom allocates what the levels and the settings call for.
