Use a cold backend's share at once, from random starts, in fleets of many gateways

The design picks the backend with the fewest own requests in flight; a budget keeps what a cold one gets to its share of what a warm one gets.

At fault: cost() divided by the warmth. A gateway of 80 has two requests in flight, so some warm backend always costs 1 and a cold one 1/warmth: it is never picked till it is warm. And coldRoom() saved up from nothing: at a share of 0.03 sends a second a gateway's first send to a new backend comes after 10 s, and all 80 then send in step.

Ruled out on the way: a local share of one largest request for a crowded counter.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -298,7 +298,9 @@
 		slow = min(max(s.latency/g.latency, 1/paceMost), paceMost)
 	}
 	well := 1 - min(s.fail, 0.9)
-	cost := (1 + float64(higher) + 0.1*float64(s.inFlight)) * slow / (well * well * g.warmth(s))
+	// Danger: a gateway among many has nothing in flight at most backends, so one that is cold would look
+	// worst for as long as it is. Its budget keeps its share small; what it may get, it gets at once.
+	cost := (1 + float64(higher) + 0.1*float64(s.inFlight)) * slow * g.warmth(s) / (well * well)
 	if s.Zone != g.set.Zone {
 		cost *= 1 + g.set.CrossZonePrice
 	}
@@ -591,9 +593,13 @@
 		}
 	}
 	for _, b := range e.Entries {
+		fresh := g.servers[b.ID] == nil
 		s := g.serverOf(b)
-		if b.Born > s.Born {
+		if fresh || b.Born > s.Born {
 			s.latency, s.fail = 0, 0 // a new process
+			// Danger: of many gateways, each may send a cold backend one request in many seconds. Were all to
+			// save up for it from nothing, it would idle while it is needed most, and then get them all at once.
+			s.budget, s.budgetedAt = g.rng.Float64(), g.now
 		} else {
 			b.Born = s.Born
 		}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -986,3 +986,74 @@
 		t.Errorf("calls for %.2f of the first tries and %.2f of the repeats, want nearly all and a few", first, again)
 	}
 }
+
+// A single gateway of 80 may send a cold backend one request in many seconds. All together keep to its share
+// of what a warm one gets, and reach that share from the first second on, with no burst once all have saved up.
+func TestManyGatewaysUseColdBackendsAtOnceAndEvenly(t *testing.T) {
+	const gateways, warm, cold, rate, work = 80, 24, 36, 4.0, 0.2 // rate: requests a second at each gateway
+	set := testSettings()
+	set.Fleet = gateways
+	set.Plans = []Plan{{Price: 1}} // no quota
+	now := 100.0
+	var gs []*Gateway
+	for i := range gateways {
+		g, _ := New(set, uint64(i+1), now, nil)
+		g.Handle(now, Backends{Kind: CachedList, Entries: some(warm)}, nil)
+		gs = append(gs, g)
+	}
+	type end struct {
+		at float64
+		e  AttemptEnd
+	}
+	out := make([][]end, gateways)
+	rng := rand.New(rand.NewPCG(1, 1))
+	id, born := RequestID(0), 0.0
+	var toCold, toWarm [20]int // by second since the start of the cold ones
+	step := func(i int, ev Event) {
+		for _, s := range find[Send](gs[i].Handle(now, ev, nil)) {
+			out[i] = append(out[i], end{now + work, AttemptEnd{Request: s.Request, Backend: s.Backend, Took: work}})
+			if at := int(now - born); born > 0 && at < len(toCold) {
+				if s.Backend > warm {
+					toCold[at]++
+				} else {
+					toWarm[at]++
+				}
+			}
+		}
+	}
+	for now < 116 {
+		now += houseGap
+		if born == 0 && now >= 106 {
+			born = now
+			var fresh []Backend
+			for i := range cold {
+				b := ready(BackendID(warm + 1 + i))
+				b.Born = born
+				fresh = append(fresh, b)
+			}
+			for i := range gs {
+				step(i, Backends{Kind: Delta, Entries: fresh})
+			}
+		}
+		for i := range gs {
+			for len(out[i]) > 0 && out[i][0].at <= now {
+				e := out[i][0].e
+				out[i] = out[i][1:]
+				step(i, e)
+			}
+			step(i, Timer{Token: timerHouse << 56})
+			if rng.Float64() < rate*houseGap {
+				id++
+				step(i, Request{ID: id, Units: 1, Gateways: 1, Customer: CustomerID(id), Deadline: now + 2})
+			}
+		}
+	}
+	for s := range 8 {
+		share := set.ColdFrom + (1-set.ColdFrom)*(float64(s)+0.5)/set.ColdFor // of a warm one's, which it can bear
+		each, usual := float64(toCold[s])/cold, float64(toWarm[s])/warm
+		if each < 0.4*share*usual || each > 1.6*share*usual {
+			t.Errorf("in second %d a cold backend got %.2f sends and a warm one %.2f, want a share of about %.2f",
+				s, each, usual, share)
+		}
+	}
+}
