Leave out calls of the lowest level first when the counter is crowded

The design cuts the lowest worth first; calls that a crowded counter can't take were left out alike for all levels, repeats before first tries.

At fault: crowded(). Calls are left out in the order repeats, first tries, each from the lowest level up, by the measured rates of the levels. Customers of few gateways are drawn as before.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -800,17 +800,26 @@
 	return floor
 }
 
-// crowded leaves a call out, the more often the more of late have failed. Danger: each gateway learns for
-// itself that a customer's quota is used up, and a client that was refused for it comes again elsewhere, so
-// most calls of a crowd are for repeats, and get nothing. Those are left out before any first try's.
-func (g *Gateway) crowded(c *customer, repeat bool) bool {
-	out := min(crowdFactor*g.crowd, crowdMost)
-	switch {
-	case c.terms.exact: // of few gateways, this one knows what is used up
-	case repeat:
-		out = min(out/max(g.repeats, crowdGain), crowdMost)
-	default:
-		out = max(out-g.repeats, 0) / max(1-g.repeats, crowdGain)
+// crowded leaves a call out, the more often the more of late have failed. Danger: each of many gateways
+// learns for itself that a quota is used up, and a client that was refused for it comes again elsewhere, so
+// most calls of a crowd are for repeats, and get nothing. Those go first, and the lowest level before others.
+func (g *Gateway) crowded(c *customer) bool {
+	j, out := c.waiting[0], min(crowdFactor*g.crowd, crowdMost)
+	if !c.terms.exact { // of few gateways, this one knows what is used up
+		all, below := 0.0, 0.0
+		for l, rate := range g.arrivals {
+			if all += rate; l < j.level {
+				below += rate
+			}
+		}
+		from, part := 0.0, g.repeats
+		if !j.Repeat {
+			from, part = g.repeats, 1-g.repeats
+		}
+		if all > 0 {
+			from, part = from+part*below/all, part*g.arrivals[j.level]/all
+		}
+		out = min((out-from)/max(part, crowdGain/2), crowdMost)
 	}
 	if g.rng.Float64() >= out {
 		return false
@@ -821,7 +830,7 @@
 
 // lease asks for a block, and tells what has been spent from the local share in this window.
 func (g *Gateway) lease(c *customer) {
-	if g.crowded(c, c.waiting[0].Repeat) {
+	if g.crowded(c) {
 		return
 	}
 	need := 0.0
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1057,3 +1057,36 @@
 		}
 	}
 }
+
+func TestCrowdLeavesOutCallsForTheLowestLevelFirst(t *testing.T) {
+	d := start(t, testSettings(), some(30)...)
+	tries, asked, calls := [2]int{}, [2]int{}, 0
+	for i := range 4000 {
+		d.now += 0.002
+		if i%20 == 0 {
+			d.handle(Timer{Token: timerHouse << 56})
+		}
+		plan := i % 2
+		out := d.handle(Request{ID: RequestID(i + 1), Plan: plan, Customer: CustomerID(i), Units: 1, Gateways: 50,
+			Deadline: d.now + 2})
+		made := find[Count](out)
+		for _, c := range made {
+			reply := CounterReply{Name: c.Name, Total: c.Amount}
+			if calls++; calls%10 == 0 {
+				reply.Outcome = TimedOut
+			}
+			out = append(out, d.handle(reply)...)
+		}
+		for _, s := range find[Send](out) {
+			d.handle(AttemptEnd{Request: s.Request, Backend: s.Backend, Outcome: Served, Took: 0.01})
+		}
+		if i >= 2000 {
+			tries[plan]++
+			asked[plan] += min(len(made), 1)
+		}
+	}
+	low, top := float64(asked[0])/float64(tries[0]), float64(asked[1])/float64(tries[1])
+	if top < 0.9 || low > 0.6 || low == 0 {
+		t.Errorf("calls for %.2f of the tries of the top level and %.2f of the low one, want nearly all and a part", top, low)
+	}
+}
