--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -2,17 +2,21 @@
 
 import (
 	"container/list"
+	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 const (
 	softShare  = 0.8                    // of the connections; above it newcomers replace those that stand idle
-	quietGrace = 2 * time.Second        // a connection is left alone so long after connecting or its last request
+	quietGrace = 2 * time.Second        // a connection is left alone so long after its last sign of life
 	leastGrace = 100 * time.Millisecond // and so long where there is no room at all
 	roomLook   = 10 * time.Millisecond  // between looks for room
+	mostAhead  = 16 << 10               // bytes that a client may send behind a request that is open
 )
 
 // clients keeps the connections of clients within a bound. Danger: a listener
@@ -25,20 +29,76 @@
 	most  int
 	freed chan struct{} // a connection has ended
 
-	mu    sync.Mutex
-	conns map[net.Conn]*list.Element // its place in quiet; nil while a request is open
-	quiet list.List                  // of quietConn, the longest first
+	mu      sync.Mutex
+	conns   map[*clientConn]struct{}
+	quiet   list.List // of *clientConn without an open request, the longest quiet first
+	leaving bool      // connections are closed once they are idle
 }
 
-// quietConn is a connection without an open request.
-type quietConn struct {
+// clientConn is one connection of a client.
+type clientConn struct {
 	net.Conn
-	since time.Time
-	fresh bool // none has come on it yet
+	books *clients
+
+	evicted atomic.Bool  // closed by the books; what was read from it is not to be taken
+	phase   atomic.Int32 // changed under books.mu
+	ahead   []byte       // what came behind a request that is open; its one reader's own
+
+	// Guarded by books.mu:
+	place *list.Element // in quiet; nil while a request is open
+	since time.Time     // of the last sign of life
+	fresh bool          // no request has come on it yet
+}
+
+// The phases of a connection.
+const (
+	quiet int32 = iota // nothing has come since it was accepted or last answered
+	begun              // a part of a request has
+	open               // a request is open
+)
+
+var errFlood = errors.New("too much behind an open request")
+
+// Read takes note of a request that begins, and keeps what comes behind one that
+// is open. Danger: the server watches for a client that leaves by reading one
+// byte, and bytes behind the request end that watch; its request would then be
+// sent on for nobody. So they are put aside here and the watch goes on, up to a
+// bound, beyond which the connection counts as ended.
+func (c *clientConn) Read(p []byte) (int, error) {
+	watch := len(p) == 1 && c.phase.Load() == open
+	if len(c.ahead) > 0 && !watch {
+		n := copy(p, c.ahead)
+		c.ahead = c.ahead[n:]
+		return n, nil
+	}
+	n, err := c.Conn.Read(p)
+	if !watch {
+		if n > 0 && c.phase.Load() == quiet {
+			c.books.begin(c)
+		}
+		return n, err
+	}
+	for c.ahead = append(c.ahead, p[:n]...); err == nil; {
+		if len(c.ahead) >= mostAhead {
+			return 0, errFlood
+		}
+		c.ahead = slices.Grow(c.ahead, mostAhead/4)
+		n, err = c.Conn.Read(c.ahead[len(c.ahead):min(cap(c.ahead), mostAhead)])
+		c.ahead = c.ahead[:len(c.ahead)+n]
+	}
+	return 0, err
+}
+
+// CloseWrite lets the server end an answer in good order before it closes.
+func (c *clientConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
 }
 
 func newClients(l net.Listener, most int) *clients {
-	return &clients{Listener: l, most: most, freed: make(chan struct{}, 1), conns: map[net.Conn]*list.Element{}}
+	return &clients{Listener: l, most: most, freed: make(chan struct{}, 1), conns: map[*clientConn]struct{}{}}
 }
 
 // Accept returns the next connection that there is room for. One for which none
@@ -50,8 +110,8 @@
 			return nil, err
 		}
 		for left := leastGrace; ; left -= roomLook {
-			if c.makeRoom() {
-				return conn, nil
+			if taken := c.take(conn); taken != nil {
+				return taken, nil
 			}
 			if left <= 0 {
 				break
@@ -65,69 +125,140 @@
 	}
 }
 
-// makeRoom closes connections that have been quiet for long enough, once the
-// soft bound is passed. It tells whether one more fits.
-func (c *clients) makeRoom() bool {
+// take puts a new connection on the books, if there is room for it or some can be
+// made: once the soft bound is passed, those that have been quiet for long enough
+// are closed.
+func (c *clients) take(conn net.Conn) *clientConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now, gone := time.Now(), 0
 	for e := c.quiet.Front(); e != nil && gone < 2 && len(c.conns) > int(softShare*float64(c.most)); {
-		q, next := e.Value.(quietConn), e.Next()
+		q, next := e.Value.(*clientConn), e.Next()
 		age := now.Sub(q.since)
 		if age < leastGrace || age < quietGrace && len(c.conns) < c.most {
 			break // all others have been quiet for less
 		}
-		// Danger: a request may just have arrived that the server has not read.
-		if alive(q.Conn) {
-			q.Close()
-			c.forget(q.Conn)
+		if c.evict(q) {
 			gone++
 		}
 		e = next
 	}
-	return len(c.conns) < c.most
+	if len(c.conns) >= c.most {
+		return nil
+	}
+	q := &clientConn{Conn: conn, books: c, fresh: true}
+	c.conns[q] = struct{}{}
+	c.rest(q)
+	return q
+}
+
+// evict closes a quiet connection, unless something has come on it that the
+// server has not read. Danger: what the server has read of a request is not seen
+// here; so the connection is marked, and the request not taken.
+func (c *clients) evict(q *clientConn) bool {
+	if !alive(q.Conn) {
+		return false
+	}
+	q.evicted.Store(true)
+	q.Close()
+	c.forget(q)
+	return true
+}
+
+// rest puts a connection behind all others that are quiet.
+func (c *clients) rest(q *clientConn) {
+	q.since, q.place = time.Now(), c.quiet.PushBack(q)
+	q.phase.Store(quiet)
+}
+
+// begin notes that a request has begun to come. It gets the grace of a new
+// connection to be whole, and no stop closes it meanwhile.
+func (c *clients) begin(q *clientConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if q.place != nil {
+		q.phase.Store(begun)
+		q.since = time.Now()
+		c.quiet.MoveToBack(q.place)
+	}
 }
 
 // state follows what the server does with a connection.
 func (c *clients) state(conn net.Conn, s http.ConnState) {
+	q := conn.(*clientConn)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	e, here := c.conns[conn]
-	if !here && s != http.StateNew {
+	if _, here := c.conns[q]; !here {
 		return // it was closed to make room
 	}
-	if e != nil {
-		c.quiet.Remove(e)
-		c.conns[conn] = nil
-	}
 	switch s {
-	case http.StateNew, http.StateIdle:
-		c.conns[conn] = c.quiet.PushBack(quietConn{conn, time.Now(), s == http.StateNew})
+	case http.StateActive:
+		c.busy(q)
+		q.fresh = false
+	case http.StateIdle:
+		c.rest(q)
+		switch {
+		case len(q.ahead) > 0:
+			q.phase.Store(begun)
+		case c.leaving:
+			c.evict(q)
+		}
 	case http.StateClosed, http.StateHijacked:
-		c.forget(conn)
+		c.forget(q)
 	}
 }
 
-// forget takes a connection off the books.
-func (c *clients) forget(conn net.Conn) {
-	if e := c.conns[conn]; e != nil {
-		c.quiet.Remove(e)
+// busy takes a connection out of those that are quiet.
+func (c *clients) busy(q *clientConn) {
+	if q.phase.Store(open); q.place != nil {
+		c.quiet.Remove(q.place)
+		q.place = nil
 	}
-	delete(c.conns, conn)
+}
+
+// forget takes a connection off the books.
+func (c *clients) forget(q *clientConn) {
+	c.busy(q)
+	delete(c.conns, q)
 	select {
 	case c.freed <- struct{}{}:
 	default:
 	}
 }
 
-// closeFresh closes the connections that no request has come on. The server
-// counts them as busy for seconds, and would hold up the gateway's end for them.
-func (c *clients) closeFresh() {
+// leave closes the connections that are idle, now and as they become so. New ones
+// are left, since a request is about to come on them.
+func (c *clients) leave() { c.closeQuiet(func(q *clientConn) bool { return !q.fresh }) }
+
+// closeNew closes the connections on which no request has begun.
+func (c *clients) closeNew() { c.closeQuiet(func(*clientConn) bool { return true }) }
+
+func (c *clients) closeQuiet(which func(*clientConn) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for e := c.quiet.Front(); e != nil; e = e.Next() {
-		if q := e.Value.(quietConn); q.fresh {
-			q.Close()
+	c.leaving = true
+	for e := c.quiet.Front(); e != nil; {
+		q, next := e.Value.(*clientConn), e.Next()
+		if q.phase.Load() == quiet && which(q) {
+			c.evict(q)
+		}
+		e = next
+	}
+}
+
+// ended waits until no connection is left, for so long at most.
+func (c *clients) ended(most time.Duration) bool {
+	for late := time.After(most); ; {
+		c.mu.Lock()
+		left := len(c.conns)
+		c.mu.Unlock()
+		if left == 0 {
+			return true
+		}
+		select {
+		case <-c.freed:
+		case <-late:
+			return false
 		}
 	}
 }
--- a/internal/gateway/clients_test.go
+++ b/internal/gateway/clients_test.go
@@ -71,58 +71,84 @@
 // an unread request has just arrived on, no open request and no new idle one.
 func TestMakeRoom(t *testing.T) {
 	p := newPeer(t)
-	c := newClients(nil, 0)
-	pair := func(s http.ConnState, age time.Duration) (near, far net.Conn) {
+	c := newClients(nil, 100)
+	dial := func() (near, far net.Conn) {
 		far, err := net.Dial("tcp", p.address())
 		if err != nil {
 			t.Fatal(err)
 		}
 		near, _ = p.accept(t)
 		t.Cleanup(func() { far.Close(); near.Close() })
-		c.state(near, http.StateNew)
-		if c.state(near, s); c.conns[near] != nil {
-			q := c.conns[near].Value.(quietConn)
-			q.since = q.since.Add(-age)
-			c.conns[near].Value = q
+		return near, far
+	}
+	pair := func(s http.ConnState, age time.Duration) (near *clientConn, far net.Conn) {
+		conn, far := dial()
+		near = c.take(conn)
+		if s == http.StateIdle {
+			c.state(near, http.StateActive)
 		}
+		c.state(near, s)
+		near.since = near.since.Add(-age)
 		return near, far
 	}
 	arrived, far := pair(http.StateNew, time.Hour)
 	io.WriteString(far, "G")
-	for end := time.Now().Add(patience); alive(arrived) && time.Now().Before(end); {
+	for end := time.Now().Add(patience); alive(arrived.Conn) && time.Now().Before(end); {
 		time.Sleep(time.Millisecond) // the byte is on its way through the kernel
 	}
 	idle, _ := pair(http.StateIdle, time.Hour)
+	half, far := pair(http.StateNew, time.Hour)
+	io.WriteString(far, "GE")
+	if n, err := half.Read(make([]byte, 16)); n == 0 || err != nil { // the server has the beginning
+		t.Fatal(n, err)
+	}
 	silent, _ := pair(http.StateNew, time.Minute)
-	open, _ := pair(http.StateActive, 0)
+	working, _ := pair(http.StateActive, 0)
 	recent, _ := pair(http.StateIdle, quietGrace/2)
 	fresh, _ := pair(http.StateNew, 0)
+	// In the order of their last sign of life: the half request counts from its first byte.
+	c.mu.Lock()
+	c.quiet.MoveAfter(half.place, recent.place)
+	c.mu.Unlock()
 	for i, step := range []struct {
 		most int
 		room bool
-		kept []net.Conn
+		kept []*clientConn
 	}{
-		{8, true, []net.Conn{arrived, idle, silent, open, recent, fresh}}, // below the soft bound
-		{6, true, []net.Conn{arrived, open, recent, fresh}},
-		{5, true, []net.Conn{arrived, open, recent, fresh}}, // room enough for what was quiet for less than 2 s
-		{4, true, []net.Conn{arrived, open, fresh}},         // none at all
-		{3, false, []net.Conn{arrived, open, fresh}},
+		{10, true, []*clientConn{arrived, idle, silent, working, recent, half, fresh}}, // below the soft bound
+		{7, true, []*clientConn{arrived, working, recent, half, fresh}},
+		{6, true, []*clientConn{arrived, working, recent, half, fresh}}, // room enough for what was quiet for less than 2 s
+		{5, true, []*clientConn{arrived, working, half, fresh}},         // none at all
+		{4, false, []*clientConn{arrived, working, half, fresh}},
 	} {
 		c.most = step.most
-		if got := c.makeRoom(); got != step.room {
-			t.Errorf("step %d: room %t", i, got)
+		next, _ := dial()
+		got := c.take(next)
+		if (got != nil) != step.room {
+			t.Errorf("step %d: room %t", i, got != nil)
+		}
+		if got != nil {
+			c.state(got, http.StateClosed)
 		}
 		for _, conn := range step.kept {
 			if _, kept := c.conns[conn]; !kept || len(c.conns) != len(step.kept) {
 				t.Errorf("step %d: %d connections kept, want %d", i, len(c.conns), len(step.kept))
 			}
+			if conn.evicted.Load() {
+				t.Errorf("step %d: a connection that is kept was closed", i)
+			}
 		}
 	}
+	if !idle.evicted.Load() || !silent.evicted.Load() || !recent.evicted.Load() {
+		t.Error("a connection that was closed is not marked")
+	}
 	c.state(idle, http.StateClosed) // the server says so later; it is off the books already
 	for conn := range c.conns {
 		c.state(conn, http.StateClosed)
 	}
-	if !c.makeRoom() || c.quiet.Len() != 0 {
+	c.most = 1
+	next, _ := dial()
+	if c.take(next) == nil || c.quiet.Len() != 1 {
 		t.Errorf("no room when all have gone; %d quiet", c.quiet.Len())
 	}
 }
--- /dev/null
+++ b/internal/gateway/crossing_test.go
@@ -0,0 +1,249 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// gated is a way to the gateway on which a test stands between the gateway and
+// the kernel: it sees each read before and after it happens.
+type gated struct {
+	net.Listener
+	before, after func(*gatedConn)
+}
+
+type gatedConn struct {
+	*net.TCPConn
+	way    *gated
+	closed chan struct{}
+	once   atomic.Bool
+}
+
+func (g *gated) Accept() (net.Conn, error) {
+	c, err := g.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &gatedConn{TCPConn: c.(*net.TCPConn), way: g, closed: make(chan struct{})}, nil
+}
+
+func (c *gatedConn) Read(p []byte) (int, error) {
+	if c.way.before != nil {
+		c.way.before(c)
+	}
+	n, err := c.TCPConn.Read(p)
+	if n > 0 && c.way.after != nil {
+		c.way.after(c)
+	}
+	return n, err
+}
+
+func (c *gatedConn) Close() error {
+	if c.once.CompareAndSwap(false, true) {
+		close(c.closed)
+	}
+	return c.TCPConn.Close()
+}
+
+func unchanged(config string) string { return config }
+
+// withCounter gives the test's customers a quota kept on a counter, which is
+// given so long to answer.
+func withCounter(counter *peer, rate, depth float64, timeout time.Duration) func(string) string {
+	return strings.NewReplacer(`"127.0.0.1:1"`, `"`+counter.address()+`"`,
+		`"pays": 1}`, fmt.Sprintf(`"pays": 1, "unitsPerS": %g, "depth": %g}`, rate, depth),
+		`"mostUnits": 4`, fmt.Sprintf(`"mostUnits": 4, "hasCounter": true, "counterTimeoutS": %g`, timeout.Seconds())).Replace
+}
+
+// exchangeOn sends one more request on a connection.
+func exchangeOn(t *testing.T, conn net.Conn, text string) (*http.Response, error) {
+	t.Helper()
+	if _, err := io.WriteString(conn, text); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(bufio.NewReader(conn), nil)
+}
+
+// A client that leaves while its request waits is noticed whatever it has sent
+// behind it, and the request is not sent on. One that has closed its sending alone
+// must not be told that it was served.
+func TestClientLeavesWhileQueued(t *testing.T) {
+	t.Parallel()
+	for name, extra := range map[string]int{"nothing behind": 0, "one byte behind": 1, "a buffer behind": 5000} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			backend, counter := newPeer(t), newPeer(t)
+			r := newRigWith(t, withCounter(counter, 5, 20, 30*time.Second), backend)
+			id := fmt.Sprintf("left-%d", extra)
+			conn, answers := r.client(t, ask("GET", "lookup", "", idHeader, id))
+			calls, cr := counter.accept(t)
+			readRequest(t, cr) // the request waits for its units
+			io.WriteString(conn, strings.Repeat("x", extra))
+			conn.(*net.TCPConn).CloseWrite()
+			if resp := wait(t, answers, "answer"); resp.StatusCode != http.StatusBadGateway || !resp.Close {
+				t.Errorf("the one that left: status %d, connection closed %t", resp.StatusCode, resp.Close)
+			}
+			total(calls, http.StatusOK, "4")
+			_, answers = r.client(t, ask("GET", "lookup", ""))
+			bc, br := backend.accept(t)
+			if req, _ := readRequest(t, br); req.Header.Get(idHeader) == id {
+				t.Error("the request of the one that left was sent on")
+			}
+			total(bc, http.StatusOK, "ok")
+			if resp := wait(t, answers, "answer"); resp.StatusCode != http.StatusOK {
+				t.Errorf("the next: status %d", resp.StatusCode)
+			}
+		})
+	}
+}
+
+// A client that floods the gateway behind its open request ends its connection,
+// and its request with it.
+func TestFloodBehindRequest(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	r := newRig(t, backend)
+	conn, _ := r.client(t, ask("GET", "lookup", ""))
+	_, br := backend.accept(t)
+	readRequest(t, br)
+	go io.WriteString(conn, strings.Repeat("x", 4*mostAhead)) // ends with the connection
+	if _, err := br.ReadByte(); err != io.EOF {
+		t.Errorf("the attempt's connection: %v", err)
+	}
+}
+
+// What came behind a request before its answer is the next request, no more and no
+// less.
+func TestPipelined(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	r := newRig(t, backend)
+	conn, first := r.client(t, ask("GET", "lookup", ""))
+	bc, br := backend.accept(t)
+	readRequest(t, br)
+	second := ask("POST", "booking", strings.Repeat("y", 6000))
+	io.WriteString(conn, second[:1])
+	io.WriteString(conn, second[1:])
+	total(bc, http.StatusOK, "first")
+	if resp := wait(t, first, "answer"); resp.StatusCode != http.StatusOK {
+		t.Fatalf("status %d", resp.StatusCode)
+	}
+	_, br = backend.accept(t) // the first connection has not settled
+	if _, body := readRequest(t, br); len(body) != 6000 {
+		t.Errorf("%d bytes came on", len(body))
+	}
+}
+
+// A request that the gateway has read, but not yet begun on, when a stop closes
+// its connection is sent again by its client: it must run once.
+func TestStopCrossesRequestThatIsRead(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	var r *rig
+	var target atomic.Pointer[net.TCPAddr]
+	way := &gated{}
+	way.after = func(c *gatedConn) {
+		if at := target.Load(); at != nil && c.RemoteAddr().String() == at.String() {
+			target.Store(nil)
+			r.stop()
+			<-c.closed
+		}
+	}
+	r = newRigBehind(t, func(l net.Listener) net.Listener { way.Listener = l; return way }, unchanged, backend)
+	conn, first := r.client(t, "GET "+readyPath+" HTTP/1.1\r\nHost: origin.svc\r\n\r\n")
+	wait(t, first, "answer")
+	target.Store(conn.LocalAddr().(*net.TCPAddr))
+	text := ask("POST", "payment", "cash")
+	if resp, err := exchangeOn(t, conn, text); err == nil {
+		t.Errorf("status %d on a connection that was closed", resp.StatusCode)
+	}
+	_, again := r.client(t, text)
+	serveOne(t, backend, "paid")
+	if resp := wait(t, again, "answer"); resp.StatusCode != http.StatusOK {
+		t.Errorf("sent again: status %d", resp.StatusCode)
+	}
+	if n := len(backend.conns); n > 0 {
+		t.Errorf("%d more connections to the backend: it ran twice", n)
+	}
+}
+
+// A request that has arrived when a stop comes, but that the gateway has not read
+// yet, is answered: on an idle connection as ever, on a new one at least with a
+// refusal, though the listener has gone.
+func TestStopCrossesRequestThatIsUnread(t *testing.T) {
+	t.Parallel()
+	for name, idle := range map[string]bool{"on an idle connection": true, "on a new one": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			backend := newPeer(t)
+			var shut atomic.Bool
+			gate, waiting := make(chan struct{}), make(chan *gatedConn, 1)
+			way := &gated{before: func(c *gatedConn) {
+				if shut.CompareAndSwap(true, false) {
+					waiting <- c
+					<-gate
+				}
+			}}
+			r := newRigBehind(t, func(l net.Listener) net.Listener { way.Listener = l; return way }, unchanged, backend)
+			var conn net.Conn
+			if idle {
+				// The watch for a client that leaves is one read, the wait for the next request the other.
+				var answers <-chan *http.Response
+				conn, answers = r.client(t, ask("GET", "lookup", ""))
+				bc, br := backend.accept(t)
+				readRequest(t, br)
+				shut.Store(true)
+				total(bc, http.StatusOK, "ok")
+				wait(t, answers, "answer")
+			} else {
+				shut.Store(true)
+				var err error
+				if conn, err = net.Dial("tcp", r.address); err != nil {
+					t.Fatal(err)
+				}
+				defer conn.Close()
+				conn.SetDeadline(time.Now().Add(patience))
+			}
+			at := wait(t, waiting, "read")
+			io.WriteString(conn, ask("GET", "glance", ""))
+			for end := time.Now().Add(patience); alive(at.TCPConn) && time.Now().Before(end); {
+				time.Sleep(time.Millisecond) // the request is on its way through the kernel
+			}
+			r.stop()
+			r.closedListener(t)
+			close(gate)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if resp.StatusCode != http.StatusServiceUnavailable || !resp.Close {
+				t.Errorf("status %d, connection closed %t", resp.StatusCode, resp.Close)
+			}
+			if err := wait(t, r.ended, "end"); err != nil {
+				t.Errorf("ended with %v", err)
+			}
+		})
+	}
+}
+
+// closedListener waits until clients are taken no longer.
+func (r *rig) closedListener(t *testing.T) {
+	t.Helper()
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		c, err := net.Dial("tcp", r.address)
+		if err != nil {
+			return
+		}
+		c.Close()
+		if time.Now().After(end) {
+			t.Fatal("the listener never closed")
+		}
+	}
+}
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -73,22 +75,27 @@
 	deploy  *wire.Deployment
 	ready   atomic.Bool
 	leaving atomic.Bool // connections are closed after their answer
+	closed  atomic.Bool // nothing new is taken
 }
 
 // server serves the clients of c, whose requests are held for the given time at
 // most.
 func (f *frontend) server(c *clients, longest time.Duration) *http.Server {
-	s := &http.Server{Handler: f, MaxHeaderBytes: mostHeader, ReadTimeout: readTimeout,
-		IdleTimeout: idleTimeout, WriteTimeout: readTimeout + longest + writeTimeout, ConnState: c.state}
-	s.RegisterOnShutdown(c.closeFresh)
-	return s
+	return &http.Server{Handler: f, MaxHeaderBytes: mostHeader, ReadTimeout: readTimeout,
+		IdleTimeout: idleTimeout, WriteTimeout: readTimeout + longest + writeTimeout, ConnState: c.state,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, conn)
+		}}
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if f.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	if r.URL.Path == readyPath {
+		if f.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		if !f.ready.Load() || f.leaving.Load() {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 			return
@@ -103,18 +110,39 @@
 		http.Error(w, err.Error(), status)
 		return
 	}
+	if r.Context().Value(connKey{}).(*clientConn).evicted.Load() {
+		// Danger: the client sends it again elsewhere; taken here as well, it would run twice.
+		panic(http.ErrAbortHandler)
+	}
+	if f.closed.Load() {
+		// Danger: what is taken so late may still be out when the gateway is killed.
+		f.write(w, answer{status: http.StatusServiceUnavailable})
+		return
+	}
 	if !f.loop.post(arrival{x}) {
-		http.Error(w, "the gateway has stopped", http.StatusInternalServerError)
+		f.write(w, answer{status: http.StatusInternalServerError})
 		return
 	}
 	select {
 	case a := <-x.reply:
-		a.write(w)
+		f.write(w, a)
 	case <-r.Context().Done():
 		f.loop.post(clientGone{x})
+		// Danger: one that has closed its sending alone still reads, and a handler that says nothing answers
+		// 200, which no backend has made.
+		w.Header().Set("Connection", "close")
+		f.write(w, answer{status: http.StatusBadGateway})
 	case <-f.loop.stopped:
-		http.Error(w, "the gateway has stopped", http.StatusInternalServerError)
+		f.write(w, answer{status: http.StatusInternalServerError})
+	}
+}
+
+// write gives the client its answer. A stop may have come since the request did.
+func (f *frontend) write(w http.ResponseWriter, a answer) {
+	if f.leaving.Load() {
+		w.Header().Set("Connection", "close")
 	}
+	a.write(w)
 }
 
 // read takes a request in, whole, or says with which status it is turned down.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log"
 	"net"
@@ -93,7 +94,7 @@
 		case err := <-failed:
 			return fmt.Errorf("clients: %w", err)
 		case <-ctx.Done():
-			return shutdown(c, front, server)
+			return shutdown(c, front, callers, server)
 		case <-reload.Signal:
 			next, err := reload.Read()
 			if err != nil {
@@ -120,16 +121,19 @@
 // shutdown takes what still comes for a while, answers what is held, and ends.
 // Danger: a request may cross the closing of its idle connection; its client
 // then sends it again on a new one. So idle connections go at once, while new
-// ones are still taken, and the listener goes later.
-func shutdown(c *Config, front *frontend, server *http.Server) error {
+// ones are still taken, and the listener goes later. The server's own Shutdown is
+// of no use: it closes idle connections also when a request waits on them unread.
+func shutdown(c *Config, front *frontend, callers *clients, server *http.Server) error {
 	front.leaving.Store(true)
-	server.SetKeepAlivesEnabled(false)
+	callers.leave()
 	time.Sleep(stayFor)
-	ctx, cancel := context.WithTimeout(context.Background(), longest(c)+stopMargin-stayFor)
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		server.Close()
-		return fmt.Errorf("clients that were still open at the end: %w", err)
+	front.closed.Store(true)
+	callers.Close()
+	callers.closeNew()
+	ended := callers.ended(longest(c) + stopMargin - stayFor)
+	server.Close()
+	if !ended {
+		return errors.New("clients were still open at the end")
 	}
 	return nil
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -35,6 +35,12 @@
 
 // newRigWith does so with another configuration.
 func newRigWith(t *testing.T, change func(config string) string, backends ...*peer) *rig {
+	t.Helper()
+	return newRigBehind(t, func(l net.Listener) net.Listener { return l }, change, backends...)
+}
+
+// newRigBehind does so with another way to its clients.
+func newRigBehind(t *testing.T, way func(net.Listener) net.Listener, change func(config string) string, backends ...*peer) *rig {
 	t.Helper()
 	r := &rig{registry: newRegistry(t), ended: make(chan error, 1), hup: make(chan os.Signal)}
 	config := change(configText(r.registry.address(), testSettings))
@@ -52,7 +58,7 @@
 	r.config.Store(&config)
 	reload := Reload{r.hup, func() (Config, error) { return parseConfig([]byte(*r.config.Load())) }}
 	done := make(chan struct{})
-	go func() { defer close(done); r.ended <- serve(ctx, &c, l, reload) }()
+	go func() { defer close(done); r.ended <- serve(ctx, &c, way(l), reload) }()
 	t.Cleanup(func() { stop(); <-done })
 	if got := r.ready(t); got != http.StatusServiceUnavailable {
 		t.Errorf("ready before the list is had: %d", got)
@@ -518,16 +524,7 @@
 	if resp := wait(t, late, "answer"); resp.StatusCode != 200 || !resp.Close {
 		t.Errorf("a late request: status %d, connection closed %t", resp.StatusCode, resp.Close)
 	}
-	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
-		c, err := net.Dial("tcp", r.address)
-		if err != nil {
-			break // clients are taken no longer
-		}
-		c.Close()
-		if time.Now().After(end) {
-			t.Fatal("the listener never closed")
-		}
-	}
+	r.closedListener(t)
 	io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 	if resp := wait(t, held, "answer"); resp.StatusCode != 200 {
 		t.Errorf("the held request: status %d", resp.StatusCode)
