--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -17,13 +18,14 @@
 )
 
 const (
-	watchWait    = 4 * time.Second        // how long a watch may stand open
-	watchGrace   = 1 * time.Second        // and how long after that its answer may take
-	listTimeout  = 2 * time.Second        // for a call that does not wait
-	watchRetry   = 100 * time.Millisecond // pause after a failed call: a watch lapses after 200 ms
-	mostListing  = 4 << 20                // bytes of one answer
-	listPath     = "/registry/instances"
-	complaintGap = 10 * time.Second // between lines about a discovery that stays down
+	watchShare      = 0.5                    // of the time that sends to a draining backend may go on: a watch stands open so long
+	answerShare     = 0.25                   // of that time: what an answer may take beside
+	leastAnswer     = 200 * time.Millisecond // the shortest time for one
+	mostWatchAnswer = 2 * time.Second        // and the longest
+	watchRetry      = 100 * time.Millisecond // pause after a failed call: a watch lapses after 200 ms
+	mostListing     = 4 << 20                // bytes of one answer
+	listPath        = "/registry/instances"
+	complaintGap    = 10 * time.Second // between lines about a discovery that stays down
 )
 
 // Listing is discovery's list of backends, or the changes to it.
@@ -75,16 +77,24 @@
 
 // watcher follows discovery and hands on each answer.
 type watcher struct {
-	address string
-	client  *http.Client
-	since   int64
-	listed  bool // a whole list has come
-	heard   func(Listing)
+	address      string
+	wait, answer time.Duration // how long a watch stands open, and what an answer may take beside
+	client       *http.Client
+	since        int64
+	listed       bool // a whole list has come
+	heard        func(Listing)
 }
 
-func newWatcher(address string, heard func(Listing)) *watcher {
-	return &watcher{address: address, heard: heard,
+// newWatcher makes a watch for a gateway that may go on sending to a draining
+// backend for so long. Danger: a watch that has fallen silent, or that discovery
+// forgot while it was down, misses drains that count as told. So each call is
+// over, and the next on its way, well within that time.
+func newWatcher(address string, drainGrace time.Duration, heard func(Listing)) *watcher {
+	w := &watcher{address: address, heard: heard,
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxConnsPerHost: 2}}}
+	w.answer = min(max(time.Duration(answerShare*float64(drainGrace)), leastAnswer), mostWatchAnswer)
+	w.wait = time.Duration(watchShare / answerShare * float64(w.answer))
+	return w
 }
 
 // run asks until ctx ends: once for the list, from then on for changes. A
@@ -113,10 +123,10 @@
 }
 
 func (w *watcher) ask(ctx context.Context) (l Listing, err error) {
-	url, limit := "http://"+w.address+listPath, listTimeout
+	url, limit := "http://"+w.address+listPath, w.answer
 	if w.listed {
-		url += fmt.Sprintf("?since=%d&timeout_ms=%d", w.since, watchWait.Milliseconds())
-		limit = watchWait + watchGrace
+		url += fmt.Sprintf("?since=%d&timeout_ms=%d", w.since, w.wait.Milliseconds())
+		limit = w.wait + w.answer
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
@@ -144,5 +154,9 @@
 	if !w.listed {
 		l.Reset = true // a call without a version is answered with all there are
 	}
+	if l.Reset && l.Instances == nil {
+		w.listed = false
+		return l, errors.New("list: no instances in it") // Danger: taken for an empty one, it would end all service
+	}
 	return l, nil
 }
--- a/internal/gateway/discovery_test.go
+++ b/internal/gateway/discovery_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"sync"
 	"testing"
+	"time"
 
 	"linnetbend/internal/wire"
 	"linnetbend/rules"
@@ -44,14 +45,58 @@
 
 func (r *registry) address() string { return r.Listener.Addr().String() }
 
-func TestWatch(t *testing.T) {
-	r := newRegistry(t)
-	heard := make(chan Listing, 64)
-	w := newWatcher(r.address(), func(l Listing) { heard <- l })
+// watchFor runs a watch until the test ends.
+func watchFor(t *testing.T, w *watcher) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { w.run(ctx) })
 	t.Cleanup(func() { cancel(); wg.Wait() })
+}
+
+// Whatever a watch misses, it is asked for anew, on a new connection, while sends
+// to a backend that drains may still go on; also when the next one is as silent.
+func TestSilentWatch(t *testing.T) {
+	for _, grace := range []time.Duration{time.Second, 2 * time.Second, 5 * time.Second} {
+		w := newWatcher("", grace, nil)
+		if lasts := w.wait + w.answer + watchRetry; lasts > grace*9/10 {
+			t.Errorf("a call lasts %v of a grace of %v", lasts, grace)
+		}
+	}
+	far := newPeer(t)
+	watchFor(t, newWatcher(far.address(), 800*time.Millisecond, func(Listing) {}))
+	conn, r := far.accept(t)
+	readRequest(t, r)
+	total(conn, http.StatusOK, `{"generation": 41, "reset": true, "instances": []}`)
+	for range 3 { // none is answered
+		if req, _ := readRequest(t, r); req.URL.RawQuery != "since=41&timeout_ms=400" {
+			t.Errorf("watch %q", req.URL.RawQuery)
+		}
+		_, r = far.accept(t)
+	}
+}
+
+// A backend in use of which something can't be read gets nothing more.
+func TestUnreadableInstanceIsLeftAlone(t *testing.T) {
+	backend, other := newPeer(t), newPeer(t)
+	r := newRig(t, backend, other)
+	wait(t, r.registry.calls, "first list")
+	wait(t, r.registry.calls, "watch")
+	spoilt := listing(false, "Terminating", backend)
+	spoilt.Instances[0].Zone = "nowhere"
+	odd := listing(false, "Leaving", other)
+	r.registry.answers <- Listing{Generation: 2, Instances: append(spoilt.Instances, odd.Instances...)}
+	wait(t, r.registry.calls, "next watch")
+	_, answers := r.client(t, ask("GET", "glance", ""))
+	if resp := wait(t, answers, "answer"); resp.StatusCode != 429 || len(backend.conns)+len(other.conns) != 0 {
+		t.Errorf("status %d, connections %d and %d", resp.StatusCode, len(backend.conns), len(other.conns))
+	}
+}
+
+func TestWatch(t *testing.T) {
+	r := newRegistry(t)
+	heard := make(chan Listing, 64)
+	watchFor(t, newWatcher(r.address(), 2*time.Second, func(l Listing) { heard <- l }))
+	none := []Instance{}
 
 	// Each step: the call that is expected, its answer, and what is handed on.
 	for i, step := range []struct {
@@ -61,14 +106,16 @@
 		none   bool
 	}{
 		{"", nil, false, true}, // discovery is not there yet
-		{"", Listing{Generation: 41}, true, false},
-		{"since=41&timeout_ms=4000", nil, false, true}, // a broken watch goes on from the same version
-		{"since=41&timeout_ms=4000", Listing{Generation: 43}, false, false},
-		{"since=43&timeout_ms=4000", Listing{Generation: 2, Reset: true}, true, false},
-		{"since=2&timeout_ms=4000", 500, false, true}, // a version that is turned down is given up
-		{"", Listing{Generation: 50, Reset: true}, true, false},
-		{"since=50&timeout_ms=4000", "{", false, true},
-		{"", Listing{Generation: 51, Reset: true}, true, false},
+		{"", Listing{Generation: 41, Instances: none}, true, false},
+		{"since=41&timeout_ms=1000", nil, false, true}, // a broken watch goes on from the same version
+		{"since=41&timeout_ms=1000", Listing{Generation: 43}, false, false},
+		{"since=43&timeout_ms=1000", Listing{Generation: 2, Reset: true, Instances: none}, true, false},
+		{"since=2&timeout_ms=1000", 500, false, true}, // a version that is turned down is given up
+		{"", Listing{Generation: 50, Reset: true, Instances: none}, true, false},
+		{"since=50&timeout_ms=1000", "{", false, true},
+		{"", "{}", false, true}, // no list at all must not pass for an empty one
+		{"", "[]", false, true},
+		{"", Listing{Generation: 51, Reset: true, Instances: none}, true, false},
 	} {
 		if got := wait(t, r.calls, "call"); got != step.query {
 			t.Fatalf("step %d: call %q, want %q", i, got, step.query)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,7 +73,7 @@
 		ended := make(chan struct{})
 		wg.Go(func() {
 			defer close(ended)
-			newWatcher(address, front.loop.hear).run(ctx)
+			newWatcher(address, seconds(c.DrainGrace), front.loop.hear).run(ctx)
 		})
 		return func() { cancel(); <-ended }
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -445,7 +445,7 @@
 		t.Errorf("the old counter's connection: %v", err)
 	}
 	other.answers <- listing(true, "Ready", second)
-	if query := wait(t, other.calls, "watch"); query != "since=1&timeout_ms=4000" {
+	if query := wait(t, other.calls, "watch"); query != "since=1&timeout_ms=1000" {
 		t.Errorf("watch %q", query)
 	}
 	_, answers := r.client(t, ask("GET", "lookup", "", clientHeader, "0000000000000001"))
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -177,7 +177,11 @@
 		b, err := i.backend(l.deploy)
 		if err != nil {
 			log.Printf("discovery: %v", err)
-			continue
+			// Danger: what can't be read of a backend in use may be that it drains.
+			b = rules.Backend{ID: backendID(i.ID), State: rules.Draining}
+			if l.names[b.ID] != i.ID {
+				continue
+			}
 		}
 		if name, known := l.names[b.ID]; known && name != i.ID {
 			log.Printf("discovery: instances %q and %q have one id; the second is left out", name, i.ID)
