--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -56,21 +56,38 @@
 	mu     sync.Mutex
 	conn   *backendConn
 	called bool // off
+	whole  bool // the request has been written
 }
 
 // callOff ends the attempt's sending and waiting. Once it has returned, no byte
 // of the request leaves any more: a dial that is up later finds it called off,
 // and a connection in use is closed.
 func (a *attempt) callOff() {
-	a.cancel()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.endLocked()
+}
+
+func (a *attempt) endLocked() {
+	a.cancel()
 	a.called = true
 	if a.conn != nil {
 		a.conn.Close()
 	}
 }
 
+// callOffUnsent does so if the request has not been written whole, and tells
+// whether it was called off.
+func (a *attempt) callOffUnsent() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.whole {
+		return false
+	}
+	a.endLocked()
+	return true
+}
+
 // hold takes a connection for the attempt, unless it was called off.
 func (a *attempt) hold(c *backendConn) bool {
 	a.mu.Lock()
@@ -81,6 +98,13 @@
 	return !a.called
 }
 
+// written notes that nothing of the request is left to be written.
+func (a *attempt) written() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.whole = true
+}
+
 // release gives the connection up. It tells whether it may be used again.
 func (a *attempt) release() bool {
 	a.mu.Lock()
@@ -290,8 +314,8 @@
 		c := t.idle[n]
 		age := time.Since(c.idle)
 		// Danger: more than belonged to the last answer may be on its way, and would be read as the next.
-		if age < settleTime && p.open < p.mostOpen {
-			continue
+		if age < settleTime {
+			continue // where there is no room for a new one, it makes room itself
 		}
 		t.idle = slices.Delete(t.idle, n, n+1)
 		if age < idleLimit && alive(c.Conn) {
@@ -361,6 +385,7 @@
 		p.discard(c)
 		return result{outcome: rules.ConnectFailed}
 	}
+	a.written()
 	res, reuse := c.answer(a.x.method)
 	ours := a.release()
 	if forgotten := res.outcome == rules.Broken && c.left.N == mostAnswer; ours && c.rest > 0 {
--- a/internal/gateway/backend_test.go
+++ b/internal/gateway/backend_test.go
@@ -302,6 +302,30 @@
 	}
 }
 
+// Where no more connections may be had, one that has not settled gives way to a
+// new one; it is not used all the same.
+func TestLateCopyWithoutRoom(t *testing.T) {
+	backend := newPeer(t)
+	p := poolFor(t, backend.address())
+	p.mostOpen = 1
+	done := start(p, newAttempt(patience))
+	conn, r := backend.accept(t)
+	readRequest(t, r)
+	total(conn, http.StatusOK, "first")
+	wait(t, done, "result")
+	p.mu.Lock()
+	p.targets[1].idle[0].idle = time.Now().Add(settleTime) // so that the next surely comes within it
+	p.mu.Unlock()
+	done = start(p, newAttempt(patience))
+	other, r := backend.accept(t)
+	readRequest(t, r)
+	total(conn, http.StatusOK, "first")
+	total(other, http.StatusOK, "second")
+	if got := wait(t, done, "result"); string(got.body) != "second" || p.open != 1 {
+		t.Errorf("body %q, %d open", got.body, p.open)
+	}
+}
+
 // A draining backend gets nothing new, but what it has it may finish.
 func TestDrain(t *testing.T) {
 	backend := newPeer(t)
--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -6,8 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -233,6 +237,152 @@
 	}
 }
 
+// crowded is a backend whose backlog is full, so that dials to it hang until it is
+// freed.
+type crowded struct {
+	fd      int
+	address string
+	fillers []net.Conn
+}
+
+func newCrowded(t *testing.T) *crowded {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	at, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &crowded{fd: fd, address: fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port)}
+	for {
+		conn, err := net.DialTimeout("tcp", c.address, 200*time.Millisecond)
+		if err != nil {
+			return c
+		}
+		t.Cleanup(func() { conn.Close() })
+		c.fillers = append(c.fillers, conn)
+	}
+}
+
+// accept returns the next connection but those that filled the backlog.
+func (c *crowded) accept(t *testing.T) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	for {
+		fd, _, err := syscall.Accept(c.fd)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f := os.NewFile(uintptr(fd), "accepted")
+		conn, err := net.FileConn(f)
+		f.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		if filler := slices.ContainsFunc(c.fillers, func(f net.Conn) bool {
+			return f.LocalAddr().String() == conn.RemoteAddr().String()
+		}); !filler {
+			conn.SetDeadline(time.Now().Add(patience))
+			return conn, bufio.NewReader(conn)
+		}
+	}
+}
+
+// A request whose client has left while its connection to a backend was being
+// made is not sent on when that comes up, also where nothing may be cancelled.
+func TestClientLeavesWhileDialling(t *testing.T) {
+	t.Parallel()
+	for _, cancel := range []bool{true, false} {
+		t.Run(fmt.Sprintf("cancel %t", cancel), func(t *testing.T) {
+			t.Parallel()
+			backend := newCrowded(t)
+			r := newRigWith(t, strings.NewReplacer(`"cancel": true`, fmt.Sprintf(`"cancel": %t`, cancel),
+				`"connectTimeoutS": 5`, `"connectTimeoutS": 15`).Replace)
+			r.list(t, backend.address)
+			conn, answers := r.client(t, ask("POST", "payment", "x", idHeader, "left"))
+			for end := time.Now().Add(patience); !dialling(t, backend.address) && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			conn.(*net.TCPConn).CloseWrite()
+			if resp := wait(t, answers, "answer"); resp.StatusCode != http.StatusBadGateway {
+				t.Errorf("the one that left: status %d", resp.StatusCode)
+			}
+			for end := time.Now().Add(5 * time.Second); dialling(t, backend.address); time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatal("its dial goes on")
+				}
+			}
+			_, answers = r.client(t, ask("POST", "payment", "x", idHeader, "stays"))
+			bc, br := backend.accept(t)
+			if req, _ := readRequest(t, br); req.Header.Get(idHeader) != "stays" {
+				t.Errorf("request %q was sent on", req.Header.Get(idHeader))
+			}
+			total(bc, http.StatusOK, "ok")
+			if resp := wait(t, answers, "answer"); resp.StatusCode != http.StatusOK {
+				t.Errorf("the next: status %d", resp.StatusCode)
+			}
+		})
+	}
+}
+
+// dialling tells whether somebody waits for a connection to an address.
+func dialling(t *testing.T, address string) bool {
+	t.Helper()
+	_, port, _ := net.SplitHostPort(address)
+	n, _ := strconv.Atoi(port)
+	table, err := os.ReadFile("/proc/self/net/tcp")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return strings.Contains(string(table), fmt.Sprintf("0100007F:%04X 02 ", n)) // SYN_SENT
+}
+
+// list tells the gateway of backends at these addresses, and waits until it has
+// heard.
+func (r *rig) list(t *testing.T, addresses ...string) {
+	t.Helper()
+	told := Listing{Generation: 2, Reset: true}
+	for _, address := range addresses {
+		told.Instances = append(told.Instances, Instance{ID: address, HostPort: address, Zone: "a", Lifecycle: "Ready", Weight: 1})
+	}
+	wait(t, r.registry.calls, "first list")
+	wait(t, r.registry.calls, "watch")
+	r.registry.answers <- told
+	wait(t, r.registry.calls, "next watch")
+}
+
+// A drain ends the dials to its backend: what waits for one goes elsewhere, or is
+// refused, and nothing is sent when the connection comes up.
+func TestDrainCrossesDial(t *testing.T) {
+	t.Parallel()
+	backend, other := newCrowded(t), newPeer(t)
+	r := newRigWith(t, strings.NewReplacer(`"connectTimeoutS": 5`, `"connectTimeoutS": 15`).Replace)
+	r.list(t, backend.address)
+	_, answers := r.client(t, ask("POST", "payment", "x"))
+	for end := time.Now().Add(patience); !dialling(t, backend.address) && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	told := listing(true, "Ready", other)
+	told.Instances = append(told.Instances, Instance{ID: backend.address, HostPort: backend.address, Zone: "a", Lifecycle: "Terminating"})
+	r.registry.answers <- told
+	serveOne(t, other, "ok")
+	if resp := wait(t, answers, "answer"); resp.StatusCode != http.StatusOK {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+	if dialling(t, backend.address) {
+		t.Error("the dial to the draining backend goes on")
+	}
+}
+
 // closedListener waits until clients are taken no longer.
 func (r *rig) closedListener(t *testing.T) {
 	t.Helper()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -69,7 +69,7 @@
 }
 
 func listing(reset bool, lifecycle string, backends ...*peer) Listing {
-	l := Listing{Generation: 1, Reset: reset}
+	l := Listing{Generation: 1, Reset: reset, Instances: []Instance{}}
 	for _, b := range backends {
 		l.Instances = append(l.Instances, Instance{ID: b.address(), HostPort: b.address(), Zone: "a", MachineType: "m",
 			Lifecycle: lifecycle, Weight: 1})
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -123,6 +123,7 @@
 		if m.x.open {
 			m.x.open = false
 			l.handle(rules.ClientGone{Request: m.x.ask.ID})
+			l.keepBack(m.x)
 			l.drop(m.x)
 		}
 	case attemptDone:
@@ -279,6 +280,17 @@
 	l.drop(x)
 }
 
+// keepBack ends the attempts of a request whose client has left, as far as they
+// have not been sent. Danger: where a deployment lets no attempt be cancelled, one
+// that waits for its connection would be sent on for nobody.
+func (l *Loop) keepBack(x *exchange) {
+	for _, a := range x.attempts {
+		if !a.ended && a.callOffUnsent() {
+			l.endAttempt(a, result{outcome: rules.Moot})
+		}
+	}
+}
+
 func (l *Loop) cancel(c rules.Cancel) {
 	x := l.live[c.Request]
 	if x == nil || c.Attempt >= len(x.attempts) || x.attempts[c.Attempt].ended {
