--- a/rules/rules.go
+++ b/rules/rules.go
@@ -707,7 +707,14 @@
 		// Danger: a gateway that starts again may have spent its share in its last life. Under a ceiling
 		// it earns the share anew; elsewhere a full store costs little.
 		if p := g.set.Plans[r.Plan]; p.CeilingRate <= 0 {
+			// Danger: of many gateways each has less than a unit. Were each to begin with one, a counter that
+			// turns calls away for a moment would let in a unit for each gateway. So they begin at random, and
+			// together have the burst; the rest of the unit is for a counter that says nothing.
 			c.local = g.terms(&p, r.Gateways, 0).localBurst
+			if share := p.Burst / float64(max(r.Gateways, 1)); share < c.local {
+				c.silent = max(c.local-share-g.rng.Float64(), 0)
+				c.local -= c.silent
+			}
 		}
 	}
 	fleet := max(g.set.Fleet, 1)
@@ -882,6 +889,9 @@
 		if e.Outcome != TimedOut {
 			c.tellLater(k)
 		}
+		if e.Outcome != Full {
+			c.local, c.silent = c.local+c.silent, 0
+		}
 		g.crowd += crowdGain
 		c.rest = min(max(2*c.rest, counterRest), counterMost)
 		c.restTill = g.now + c.rest
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1090,3 +1090,25 @@
 		t.Errorf("calls for %.2f of the tries of the top level and %.2f of the low one, want nearly all and a part", top, low)
 	}
 }
+
+// Of many gateways, each has less than a unit of a customer's burst for itself.
+// While the counter turns calls away they let in about the burst together, and not a
+// unit each; while it says nothing at all, a customer is not kept out for it.
+func TestTurnedAwayCallsLetInAboutTheBurst(t *testing.T) {
+	const gateways = 300
+	set := testSettings()
+	set.Fleet = gateways
+	for outcome, want := range map[Outcome][2]int{Full: {1, 12}, TimedOut: {gateways, gateways}} {
+		let := 0
+		for i := range gateways {
+			set.Rank = i
+			g, _ := New(set, hash(uint64(i)), 100, nil)
+			g.Handle(100, Backends{Kind: CachedList, Entries: some(4)}, nil)
+			out := g.Handle(100, Request{ID: 1, Units: 1, Gateways: gateways, Customer: 5, Deadline: 102}, nil)
+			let += len(find[Send](g.Handle(100, CounterReply{Name: one[Count](t, out).Name, Outcome: outcome}, nil)))
+		}
+		if let < want[0] || let > want[1] {
+			t.Errorf("outcome %d: %d gateways let one in, want %d to %d for a burst of %g", outcome, let, want[0], want[1], set.Plans[0].Burst)
+		}
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -129,7 +129,8 @@
 	inCalls        int     // calls out
 	asking         int     // of these for units
 	rest, restTill float64 // pause after a failed call
-	local, localAt float64 // own share, for when the counter is silent
+	local, localAt float64 // own share, for when the counter grants nothing
+	silent         float64 // what is added to it once a call has had no answer
 }
 
 // call is one Count whose reply is due.
