--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -16,6 +16,7 @@
 	quietGrace = 2 * time.Second        // a connection is left alone so long after its last sign of life
 	leastGrace = 100 * time.Millisecond // and so long where there is no room at all
 	roomLook   = 10 * time.Millisecond  // between looks for room
+	quietLook  = 100 * time.Millisecond // and for quiet ones at the end
 	mostAhead  = 16 << 10               // bytes that a client may send behind a request that is open
 )
 
@@ -180,6 +181,9 @@
 		q.phase.Store(begun)
 		q.since = time.Now()
 		c.quiet.MoveToBack(q.place)
+		if c.leaving {
+			q.SetReadDeadline(time.Now().Add(readTimeout)) // closeQuiet came too late for this one
+		}
 	}
 }
 
@@ -201,7 +205,7 @@
 		case len(q.ahead) > 0:
 			q.phase.Store(begun)
 		case c.leaving:
-			c.evict(q)
+			c.evict(q) // the server reads nothing meanwhile: it waits for this
 		}
 	case http.StateClosed, http.StateHijacked:
 		c.forget(q)
@@ -233,22 +237,26 @@
 // closeNew closes the connections on which no request has begun.
 func (c *clients) closeNew() { c.closeQuiet(func(*clientConn) bool { return true }) }
 
+// closeQuiet ends the server's wait for a request, and the server then closes the
+// connection. Danger: closed from here, one on which a request has just been read
+// would lose it; a wait that has ended with a request goes on.
 func (c *clients) closeQuiet(which func(*clientConn) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.leaving = true
-	for e := c.quiet.Front(); e != nil; {
-		q, next := e.Value.(*clientConn), e.Next()
-		if q.phase.Load() == quiet && which(q) {
-			c.evict(q)
+	for e := c.quiet.Front(); e != nil; e = e.Next() {
+		q := e.Value.(*clientConn)
+		if q.phase.Load() == quiet && which(q) && alive(q.Conn) {
+			q.SetReadDeadline(time.Unix(1, 0))
 		}
-		e = next
 	}
 }
 
-// ended waits until no connection is left, for so long at most.
+// ended waits until no connection is left, for so long at most, and closes those
+// that are still quiet: the server may just have been about to wait.
 func (c *clients) ended(most time.Duration) bool {
 	for late := time.After(most); ; {
+		c.closeNew()
 		c.mu.Lock()
 		left := len(c.conns)
 		c.mu.Unlock()
@@ -257,6 +265,7 @@
 		}
 		select {
 		case <-c.freed:
+		case <-time.After(quietLook):
 		case <-late:
 			return false
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,7 +129,6 @@
 	time.Sleep(stayFor)
 	front.closed.Store(true)
 	callers.Close()
-	callers.closeNew()
 	ended := callers.ended(longest(c) + stopMargin - stayFor)
 	server.Close()
 	if !ended {
