--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -96,6 +96,17 @@
 			}
 		}
 	}
+	for i, class := range c.Classes {
+		if class.Aim <= 0 || class.Deadline <= 0 || class.Deadline > mostPatience.Seconds() || class.Worth < 0 || class.DedupeWindow < 0 {
+			return fmt.Errorf("class %q: aim, deadline, worth or window is out of range", c.ClassNames[i])
+		}
+	}
+	for i, p := range c.Plans {
+		if p.Price < 0 || p.Rate < 0 || p.MaxConcurrent < 0 || p.CeilingRate < 0 ||
+			p.Rate > 0 && p.Burst <= 0 || p.CeilingRate > 0 && p.CeilingBurst <= 0 {
+			return fmt.Errorf("plan %q: price, rate, burst, cap or ceiling is out of range", c.PlanNames[i])
+		}
+	}
 	switch {
 	case c.Cores <= 0 || c.MemoryMB < leastMemoryMB || c.Sockets < leastSockets:
 		return fmt.Errorf("limits: %g cores, %d MB and %d sockets are too little", c.Cores, c.MemoryMB, c.Sockets)
