--- a/rules/rules.go
+++ b/rules/rules.go
@@ -324,7 +324,9 @@
 // drains, whoever asks.
 func (g *Gateway) send(j *job, s *server) bool {
 	tries := len(j.attempts)
-	stale := j.mayRun && j.class.Effect == ByKey && g.now > j.mayAt+j.class.DedupeWindow-2*g.set.Tick
+	// Danger: what is sent within the window may wait for a connection and arrive after it.
+	window := j.class.DedupeWindow - g.set.ConnectTimeout - 2*g.set.Tick
+	stale := j.mayRun && j.class.Effect == ByKey && g.now > j.mayAt+window
 	if j.done || j.streams || !j.paid || s.State != Ready || !j.inGroup(s) || stale ||
 		tries >= max(g.set.MaxAttempts, 1) || j.out > 0 && !g.set.CanCopy {
 		return false
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -142,6 +142,26 @@
 	one[Fail](t, out)
 }
 
+// A repeat may have to wait for its connection: it must arrive within the window
+// even so.
+func TestKeyedRepeatArrivesWithinItsWindow(t *testing.T) {
+	for _, c := range []struct {
+		after float64
+		again bool
+	}{{0.19, true}, {0.21, false}} {
+		set := testSettings()
+		set.ConnectTimeout, set.Classes[1].DedupeWindow = 0.3, 0.5
+		d := start(t, set, some(6)...)
+		id := d.ask(1, 1, 1)
+		first := one[Send](t, d.last)
+		d.now += c.after
+		out := d.handle(AttemptEnd{Request: id, Backend: first.Backend, Outcome: Errored, Took: c.after})
+		if got := len(find[Send](out)) == 1; got != c.again {
+			t.Errorf("%g s after the first send: sent again %t", c.after, got)
+		}
+	}
+}
+
 func TestOnceIsRepeatedOnlyAfterProof(t *testing.T) {
 	set := testSettings()
 	set.Classes[0].Effect = Once
