--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"slices"
 	"strconv"
@@ -485,3 +486,25 @@
 		}
 	}
 }
+
+// No client holds a request, and so a stop, for longer than its class allows.
+func TestPatienceIsBounded(t *testing.T) {
+	c, err := parseConfig([]byte(configText("127.0.0.1:1", testSettings)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &frontend{loop: &Loop{clock: newClock()}, deploy: &c.Deployment}
+	for left, most := range map[string]float64{"3600000": 20, "7000": 7} {
+		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(ask("GET", "lookup", "", leftHeader, left))))
+		if err != nil {
+			t.Fatal(err)
+		}
+		x, _, err := f.read(httptest.NewRecorder(), r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := x.ask.Deadline - x.ask.Sent + answerMargin; got < most-0.001 || got > most+0.001 {
+			t.Errorf("%s ms: held for up to %.3f s, want %.3f", left, got, most)
+		}
+	}
+}
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -191,7 +191,8 @@
 	// Danger: the time-out for reading the request would end the watch.
 	http.NewResponseController(w).SetReadDeadline(time.Time{})
 	x.ask.Sent = now
-	x.ask.Deadline += now - answerMargin
+	// Danger: a client that claims hours would hold its request, and a stop, for as long as a backend hangs.
+	x.ask.Deadline = min(x.ask.Deadline, class.Deadline) + now - answerMargin
 	x.header = passedOn(r.Header)
 	return x, 0, nil
 }
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -53,6 +53,7 @@
 
 	live    map[rules.RequestID]*exchange // until the last attempt has ended
 	ids     recent                        // the clients' own, of requests taken lately
+	open    map[string]struct{}           // those of live
 	nextID  rules.RequestID
 	names   map[rules.BackendID]string // whose id it is
 	calls   map[uint64][]*call         // by name, in order, until their replies are handed on
@@ -64,7 +65,7 @@
 func newLoop(c *Config, p *pools, k *counter, onListed func()) *Loop {
 	l := &Loop{clock: newClock(), deploy: &c.Deployment, pools: p, counter: k, onListed: onListed,
 		inbox: make(chan any, inboxSize), stopped: make(chan struct{}),
-		live: map[rules.RequestID]*exchange{}, names: map[rules.BackendID]string{},
+		live: map[rules.RequestID]*exchange{}, open: map[string]struct{}{}, names: map[rules.BackendID]string{},
 		calls: map[uint64][]*call{}}
 	l.gateway, l.actions = rules.New(c.Settings, c.Seed, l.clock.now(), nil)
 	l.act(l.actions)
@@ -157,7 +158,8 @@
 	}
 	// Danger: an id names one request. A second one under it, from whatever client, could be answered by
 	// what a backend made for the first.
-	if !l.ids.add(x.id, x.ask.Sent) {
+	// They are forgotten after a while, or when many come; those of requests that are open are not.
+	if _, open := l.open[x.id]; open || !l.ids.add(x.id, x.ask.Sent) {
 		x.reply <- answer{status: http.StatusConflict}
 		return
 	}
@@ -166,6 +168,7 @@
 	}
 	x.ask.ID, x.open = l.nextID, true
 	l.live[x.ask.ID] = x
+	l.open[x.id] = struct{}{}
 	l.handle(x.ask)
 }
 
@@ -320,6 +323,7 @@
 func (l *Loop) drop(x *exchange) {
 	if !x.open && x.out == 0 {
 		delete(l.live, x.ask.ID)
+		delete(l.open, x.id)
 	}
 }
 
@@ -427,7 +431,7 @@
 }
 
 const (
-	recentSpan = 4.0     // seconds; longer than a request stays open
+	recentSpan = 4.0     // seconds
 	recentMost = 1 << 13 // ids of a span; then the next begins
 )
 
--- a/internal/gateway/loop_test.go
+++ b/internal/gateway/loop_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"slices"
 	"strconv"
 	"testing"
@@ -51,6 +52,31 @@
 	}
 }
 
+// The id of a request that is open is never free, however long that lasts.
+func TestIdOfOpenRequest(t *testing.T) {
+	c, err := parseConfig([]byte(configText("127.0.0.1:1", testSettings)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := newLoop(&c, newPools(1, 1, 1), nil, func() {})
+	request := func() *exchange {
+		now := l.clock.now()
+		return &exchange{id: "one", reply: make(chan answer, 1), ask: rules.Request{Units: 1, Gateways: 1, Sent: now, Deadline: now + 15}}
+	}
+	first, second := request(), request()
+	l.arrive(first)
+	l.ids = recent{} // as if it had been long ago
+	if l.arrive(second); len(second.reply) != 1 || (<-second.reply).status != http.StatusConflict {
+		t.Error("a second request was taken under the id of an open one")
+	}
+	l.take(clientGone{first})
+	if third := request(); len(l.open) != 0 {
+		t.Errorf("%d ids are held for nothing", len(l.open))
+	} else if l.arrive(third); len(third.reply) != 0 {
+		t.Error("the id is not free again")
+	}
+}
+
 // Timers of what is over wake nobody, but none that is waited for may be lost.
 func TestVoidTimers(t *testing.T) {
 	l := &Loop{live: map[rules.RequestID]*exchange{7: {}}}
