--- a/cmd/elderyard/main_test.go
+++ b/cmd/elderyard/main_test.go
@@ -68,7 +68,7 @@
 	case <-time.After(20 * time.Second):
 		t.Fatal("discovery was not asked")
 	}
-	for _, s := range []os.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
+	for _, s := range []os.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
 		if err := cmd.Process.Signal(s); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/gateway/backend_test.go
+++ b/internal/gateway/backend_test.go
@@ -120,6 +120,7 @@
 		{"504 without proof", "HTTP/1.1 504 No\r\nX-Unprocessed: 0\r\nContent-Length: 0\r\n\r\n", rules.Errored, "", true},
 		{"500 never proves it", "HTTP/1.1 500 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", rules.Errored, "", true},
 		{"closed without a word", "", rules.Broken, "", false},
+		{"head cut short", "HTTP/1.1 200 OK\r\nContent-Le", rules.Broken, "", false},
 		{"body cut short", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", rules.Broken, "", false},
 		{"body too long", "HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + long, rules.Broken, "", false},
 		{"headers without end", "HTTP/1.1 200 OK\r\nX: " + long + long, rules.Broken, "", false},
--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -16,6 +16,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"linnetbend/rules"
 )
 
 // gated is a way to the gateway on which a test stands between the gateway and
@@ -487,6 +489,72 @@
 	}
 }
 
+// A stop owes an answer to what it holds, also where a backend or the counter has
+// gone silent, and ends when it is given, with calls still out.
+func TestStopWithSilence(t *testing.T) {
+	t.Parallel()
+	for _, silent := range []string{"a backend", "the counter"} {
+		t.Run(silent, func(t *testing.T) {
+			t.Parallel()
+			backend, counter := newPeer(t), newPeer(t)
+			change := unchanged
+			if silent == "the counter" {
+				change = withCounter(counter, 5, 20, 30*time.Second)
+			}
+			r := newRigWith(t, change, backend)
+			_, held := r.client(t, ask("GET", "glance", ""))
+			at := backend
+			if silent == "the counter" {
+				at = counter
+			}
+			_, br := at.accept(t)
+			readRequest(t, br) // and no answer
+			r.stop()
+			if resp := wait(t, held, "answer"); resp.StatusCode != http.StatusTooManyRequests {
+				t.Errorf("status %d", resp.StatusCode)
+			}
+			if err := wait(t, r.ended, "end"); err != nil {
+				t.Errorf("ended with %v", err)
+			}
+		})
+	}
+}
+
+// What comes of an attempt after its time-out or cancel reaches nobody: the request
+// has its one answer.
+func TestAnswerCrossesTimeOut(t *testing.T) {
+	c, err := parseConfig([]byte(configText("127.0.0.1:1", testSettings)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, ends := range map[string]func(*Loop, *exchange){
+		"the time-out of the attempt": func(l *Loop, x *exchange) { l.due(timerEntry{attempt: x.attempts[0]}) },
+		"a client that leaves":        func(l *Loop, x *exchange) { l.take(clientGone{x}) },
+	} {
+		backend := newPeer(t)
+		p := newPools(patience, time.Minute, 8)
+		l := newLoop(&c, p, nil, func() {})
+		l.list(listing(true, "Ready", backend), rules.FullList)
+		now := l.clock.now()
+		x := &exchange{id: "one", method: "POST", uri: "/payment", host: "h", header: http.Header{}, reply: make(chan answer, 2),
+			ask: rules.Request{Class: 2, Units: 1, Gateways: 1, Sent: now, Deadline: now + 15}}
+		l.arrive(x)
+		_, br := backend.accept(t)
+		readRequest(t, br)
+		ends(l, x)
+		owed := len(x.reply)
+		l.take(attemptDone{x.attempts[0], result{outcome: rules.Served, header: http.Header{}, body: []byte("late")}})
+		if len(x.reply) != owed || len(l.live) != 0 || x.out != 0 {
+			t.Errorf("%s: %d answers for %d, %d requests live", name, len(x.reply), owed, len(l.live))
+		}
+		if _, err := br.ReadByte(); err != io.EOF {
+			t.Errorf("%s: the attempt's connection: %v", name, err)
+		}
+		close(l.stopped) // lets the attempt end
+		l.attempts.Wait()
+	}
+}
+
 // No client holds a request, and so a stop, for longer than its class allows.
 func TestPatienceIsBounded(t *testing.T) {
 	c, err := parseConfig([]byte(configText("127.0.0.1:1", testSettings)))
