--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -24,6 +24,7 @@
 // the kernel: it sees each read before and after it happens.
 type gated struct {
 	net.Listener
+	accepted      func() // before the gateway has the connection
 	before, after func(*gatedConn)
 	conns         sync.Map // *gatedConn by the client's address
 }
@@ -43,6 +44,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if g.accepted != nil {
+		g.accepted()
+	}
 	at := &gatedConn{TCPConn: c.(*net.TCPConn), way: g, closed: make(chan struct{}), ended: make(chan struct{})}
 	g.conns.Store(c.RemoteAddr().String(), at)
 	return at, nil
@@ -489,6 +493,62 @@
 	}
 }
 
+// A connection that waits to be accepted when a stop comes is still taken, and its
+// request answered: served, or refused where it is too late for that.
+func TestStopCrossesAccept(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	var shut atomic.Bool
+	gate, waiting := make(chan struct{}), make(chan struct{}, 1)
+	way := &gated{accepted: func() {
+		if shut.CompareAndSwap(true, false) {
+			waiting <- struct{}{}
+			<-gate
+		}
+	}}
+	r := newRigBehind(t, func(l net.Listener) net.Listener { way.Listener = l; return way }, unchanged, backend)
+	shut.Store(true)
+	_, answers := r.client(t, ask("GET", "glance", "")) // its backend says nothing
+	wait(t, waiting, "connection")
+	r.stop()
+	close(gate)
+	resp := wait(t, answers, "answer")
+	if late := resp.StatusCode == http.StatusServiceUnavailable; !late && resp.StatusCode != http.StatusTooManyRequests || !resp.Close {
+		t.Errorf("status %d, connection closed %t", resp.StatusCode, resp.Close)
+	}
+	if err := wait(t, r.ended, "end"); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
+
+// A client that leaves just behind the grant that lets its request go takes back
+// what has been sent for it.
+func TestClientLeavesBehindGrant(t *testing.T) {
+	backend, far := newPeer(t), newPeer(t)
+	c, err := parseConfig([]byte(withCounter(far, 5, 20, 30*time.Second)(configText("127.0.0.1:1", testSettings))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := newLoop(&c, newPools(patience, time.Minute, 8), newCounter(far.address(), patience), func() {})
+	l.list(listing(true, "Ready", backend), rules.FullList)
+	now := l.clock.now()
+	x := &exchange{id: "one", method: "GET", uri: "/lookup", host: "h", header: http.Header{}, reply: make(chan answer, 2),
+		ask: rules.Request{Units: 1, Gateways: 1, Customer: 5, Sent: now, Deadline: now + 15}}
+	l.arrive(x)
+	for _, calls := range l.calls {
+		l.take(callDone{calls[0], rules.Served, calls[0].amount})
+	}
+	if len(x.attempts) != 1 {
+		t.Fatalf("%d attempts by the grant", len(x.attempts))
+	}
+	l.take(clientGone{x})
+	if !x.attempts[0].ended || len(x.reply) != 0 || len(l.live) != 0 {
+		t.Errorf("attempt ended %t, %d answers, %d live", x.attempts[0].ended, len(x.reply), len(l.live))
+	}
+	close(l.stopped)
+	l.attempts.Wait() // it has been called off, whatever the backend does
+}
+
 // A stop owes an answer to what it holds, also where a backend or the counter has
 // gone silent, and ends when it is given, with calls still out.
 func TestStopWithSilence(t *testing.T) {
