--- a/rules/rules.go
+++ b/rules/rules.go
@@ -711,9 +711,10 @@
 		if p := g.set.Plans[r.Plan]; p.CeilingRate <= 0 {
 			// Danger: of many gateways each has less than a unit. Were each to begin with one, a counter that
 			// turns calls away for a moment would let in a unit for each gateway. So they begin at random, and
-			// together have the burst; the rest of the unit is for a counter that says nothing.
+			// together have the burst; the rest of the unit is for a counter that says nothing. Where there is no
+			// counter, nothing else lets a customer in.
 			c.local = g.terms(&p, r.Gateways, 0).localBurst
-			if share := p.Burst / float64(max(r.Gateways, 1)); share < c.local {
+			if share := p.Burst / float64(max(r.Gateways, 1)); g.set.Counter && share < c.local {
 				c.silent = max(c.local-share-g.rng.Float64(), 0)
 				c.local -= c.silent
 			}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1131,4 +1131,10 @@
 			t.Errorf("outcome %d: %d gateways let one in, want %d to %d for a burst of %g", outcome, let, want[0], want[1], set.Plans[0].Burst)
 		}
 	}
+	set.Counter = false // then a gateway's own share is all there is
+	for i := range gateways {
+		g, _ := New(set, hash(uint64(i)), 100, nil)
+		g.Handle(100, Backends{Kind: CachedList, Entries: some(4)}, nil)
+		one[Send](t, g.Handle(100, Request{ID: 1, Units: 1, Gateways: gateways, Customer: 5, Deadline: 102}, nil))
+	}
 }
