--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -615,6 +615,37 @@
 	}
 }
 
+// A client that never reads its answer costs no other client one, and holds up a
+// stop no longer than the longest request could.
+func TestSlowReader(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	way := &gated{before: func(c *gatedConn) { c.SetWriteBuffer(4096) }}
+	r := newRigBehind(t, func(l net.Listener) net.Listener { way.Listener = l; return way },
+		strings.NewReplacer(`"deadlineS": 20`, `"deadlineS": 2`, `"objectiveS": 10`, `"objectiveS": 2`).Replace, backend)
+	d := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
+	}}
+	slow, err := d.Dial("tcp", r.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer slow.Close()
+	io.WriteString(slow, ask("GET", "lookup", ""))
+	serveOne(t, backend, strings.Repeat("x", mostBody))
+	for range 2 { // on a connection of its own, or on the first again
+		_, answers := r.client(t, ask("GET", "glance", ""))
+		resp := wait(t, answers, "another client's answer")
+		if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusTooManyRequests {
+			t.Errorf("status %d", resp.StatusCode)
+		}
+	}
+	r.stop()
+	if err := wait(t, r.ended, "end"); err == nil {
+		t.Error("the answer that nobody read was not held at all")
+	}
+}
+
 // No client holds a request, and so a stop, for longer than its class allows.
 func TestPatienceIsBounded(t *testing.T) {
 	c, err := parseConfig([]byte(configText("127.0.0.1:1", testSettings)))
