Let what a ceiling has room for beyond the quota in at the lowest level, where it earns

Cause: the design gives the lowest level to what soft plans ask for beyond their quota, and refuses it for others. The module refused all of it: in admit, a request in a dry spell is given back whatever its plan earns (the case on dryUntil). Under a ceiling the own shares hold what the ceiling has beyond the quota's leases, and were spent only while calls rest.

The bound on the ceiling is the old one: leases and own shares together never pass it. The test that asks in every order with kills, silence and an emptied counter now plays such a plan too, on every second seed.

--- a/rules/quota.go
+++ b/rules/quota.go
@@ -59,7 +59,9 @@
 //
 // Under a ceiling, leases and local shares together never pass it. An exact store spends in any time L
 // allowance*(1+leaseShare) + rate*L at most, and twice the first allowance if the counter comes back empty;
-// short windows allowance*(2+leaseShare) + rate*L. The shares have the rest of burst and rate.
+// short windows allowance*(2+leaseShare) + rate*L. The shares have the rest of burst and rate. Where a plan
+// gains by what is served beyond its quota, they also pay for that, at the lowest level; without a ceiling
+// nothing would bound it.
 func (g *Gateway) terms(p *Plan, gateways, index int) terms {
 	n := float64(max(gateways, 1))
 	t := terms{gateways: n, rate: p.Rate, allowance: p.Burst, first: p.Burst / n, few: n <= fewMost,
@@ -91,6 +93,7 @@
 			t.spare, t.localBurst = t.allowance, (p.CeilingBurst-(2+leaseShare)*t.allowance)/n
 		}
 		t.first, t.localRate = t.allowance/n, (p.CeilingRate-t.rate)/n
+		t.overWorth = p.OverWorth > p.OverCost
 	}
 	t.window = windowLen
 	if !t.long {
@@ -173,8 +176,11 @@
 				if c.unitsSoon(j, g.set.MaxAdvice) {
 					return // held
 				}
-				g.giveBack(j)
-				continue
+				if !c.terms.overWorth || !c.takeLocal(g.now, j.Units) {
+					g.giveBack(j)
+					continue
+				}
+				j.level = 0 // beyond the quota, as far as is known here
 			case !g.set.Counter || g.now < c.restTill:
 				if !c.takeLocal(g.now, j.Units) {
 					if g.set.Counter && c.terms.few && c.restTill+g.latency < j.giveUp {
--- a/rules/quota_test.go
+++ b/rules/quota_test.go
@@ -389,6 +389,51 @@
 	}
 }
 
+// What a ceiling has room for beyond the quota is let in where the plan gains by it, as far as the ceiling goes, and
+// leaves after all that is inside a quota. Elsewhere it is refused.
+func TestCeilingPaysBeyondTheQuotaAtTheLowestLevel(t *testing.T) {
+	for _, gains := range []bool{false, true} {
+		set := testSettings()
+		set.Plans[1] = Plan{Price: 1.5, Rate: 2, Burst: 4, OverWorth: 0.3, CeilingRate: 4, CeilingBurst: 14, CeilingSlack: 1}
+		if !gains {
+			set.Plans[1].OverCost = 0.5
+		}
+		d := start(t, set, some(4)...)
+		d.now += 30 // its own share is earned
+		d.g.bound = 0
+		ask := func(plan int) []Action {
+			d.nextID++
+			out := d.handle(Request{ID: d.nextID, Plan: plan, Customer: CustomerID(plan), Units: 1, Gateways: 2, Deadline: d.now + 2})
+			return d.answerAll(out, func(c Count) float64 { // others have used up all of plan 1
+				if plan == 1 {
+					return 1000
+				}
+				return c.Amount
+			})
+		}
+		beyond := d.nextID + 1
+		refused := 0
+		for range 10 {
+			refused += len(find[Refuse](ask(1)))
+		}
+		if want := map[bool]int{false: 10, true: 8}[gains]; refused != want { // own shares are half of 14 - 1.5*4, for two
+			t.Errorf("gains %t: %d of 10 refused beyond the quota, want %d", gains, refused, want)
+		}
+		if !gains {
+			continue
+		}
+		if out := ask(0); len(find[Refuse](out)) > 0 {
+			t.Fatalf("a request inside its quota was refused: %v", out)
+		}
+		inside := d.nextID
+		d.g.bound = 1000
+		sent := find[Send](d.handle(Timer{Token: timerHouse << 56}))
+		if len(sent) < 2 || sent[0].Request != inside || sent[1].Request != beyond {
+			t.Errorf("sent %v, want request %d of the cheaper plan, inside its quota, before %d", sent, inside, beyond)
+		}
+	}
+}
+
 // Where a deployment has no counter, own shares are all there is, and nobody is told.
 func TestOwnSharesWithoutACounterMakeNoCalls(t *testing.T) {
 	set := testSettings()
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -417,6 +417,9 @@
 	for seed := range uint64(20) {
 		rng := rand.New(rand.NewPCG(seed, 1))
 		plan := Plan{Price: 1, Rate: 10, Burst: 10, OverCost: 1, CeilingRate: 17, CeilingBurst: 17, CeilingSlack: 1.7}
+		if seed%2 == 1 { // own shares let in beyond the quota too
+			plan.OverWorth, plan.OverCost = 0.3, 0
+		}
 		set := testSettings()
 		set.Plans[0] = plan
 		gateways := []int{3, 8, 11}[seed%3] // an exact store, and short windows
--- a/rules/state.go
+++ b/rules/state.go
@@ -173,6 +173,7 @@
 	few                     bool // its gateways are
 	reported                bool // its store is kept by reports of what own shares have spent
 	long                    bool // its window is: allowances grow with time
+	overWorth               bool // what own shares let in beyond the quota earns more than it costs
 	gateways                float64
 	lent                    float64 // of such a store: units that the counter lends at once
 	rate, allowance, window float64 // units a second, units a window, its length
