--- a/rules/quota_test.go
+++ b/rules/quota_test.go
@@ -211,7 +211,7 @@
 	}
 }
 
-// So does one that its gateways see only now and then, and the less the more seldom.
+// A customer that its gateways see only now and then costs few calls too, and the fewer the more seldom it is.
 func TestCustomerSeenSeldomCostsFewCalls(t *testing.T) {
 	t.Parallel()
 	for _, c := range []struct{ rate, calls float64 }{{0.01, 0.25}, {0.1, 0.75}} {
