--- a/internal/lab/experiment/over.go
+++ b/internal/lab/experiment/over.go
@@ -51,13 +51,13 @@
 }
 
 // parseOver reads KEY=VALUE,VALUE,...
-func parseOver(text string) (over, error) {
+// parseOver reads KEY=VALUE,VALUE and so on.
 	if text == "" {
 		return over{values: []float64{0}}, nil
 	}
 	key, list, found := strings.Cut(text, "=")
 	if !found {
-		return over{}, fmt.Errorf("over: %q is not KEY=VALUE,VALUE,...", text)
+		return over{}, fmt.Errorf("over: %q is not KEY=VALUE,VALUE", text)
 	}
 	if sweepable[key] == nil {
 		return over{}, fmt.Errorf("over: no key %q can be swept", key)
--- a/rules/quota_test.go
+++ b/rules/quota_test.go
@@ -58,7 +58,7 @@
 	rng := rand.New(rand.NewPCG(d.seed, 1))
 	var q quotaEvents
 	var gs []*Gateway
-	take := func(now float64, n int, actions []Action) {}
+	var take func(now float64, n int, actions []Action)
 	totals := map[uint64]float64{}
 	store, storeAt, counted := d.plan.Burst, start, false
 	take = func(now float64, n int, actions []Action) {
