--- a/internal/lab/experiment/over.go
+++ b/internal/lab/experiment/over.go
@@ -50,8 +50,8 @@
 	values []float64
 }
 
-// parseOver reads KEY=VALUE,VALUE,...
 // parseOver reads KEY=VALUE,VALUE and so on.
+func parseOver(text string) (over, error) {
 	if text == "" {
 		return over{values: []float64{0}}, nil
 	}
