Log a stop's steps and open requests through log/slog, and count answers by reason

The report of the incident had one line of log. What it lacked: when the stop's steps came, how many connections were idle, being read or open then, which request was left, and why requests were refused.

Change: one structured logger, handed down from the command; the stop logs each step with its time and the connections by phase, and each request that it leaves, by id, class and client. Refusals and failures of the decisions carry a typed reason. Plain atomic counters (connections, requests, answers by reason, attempts and counter calls by outcome) are written once a minute and at the stop. serve is split into methods of one type, the stop has a file of its own; its times are unchanged.

Tests: internal/gateway, cmd/elderyard and rules pass with -race. The cost has not been measured yet.

--- a/cmd/elderyard/main.go
+++ b/cmd/elderyard/main.go
@@ -6,7 +6,7 @@
 import (
 	"context"
 	"fmt"
-	"log"
+	"log/slog"
 	"math"
 	"os"
 	"os/signal"
@@ -45,7 +45,7 @@
 	runtime.GOMAXPROCS(int(math.Ceil(c.Cores)))
 	debug.SetMemoryLimit(int64(float64(c.MemoryMB<<20) * heapShare))
 	debug.SetGCPercent(heapGrow)
-	log.SetPrefix(c.Name + " ")
+	c.Log = slog.New(slog.NewTextHandler(os.Stderr, nil)).With("gateway", c.Name)
 	return gateway.Run(ctx, &c, gateway.Reload{Signal: hup,
 		Read: func() (gateway.Config, error) { return gateway.ReadConfig(path) }})
 }
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"errors"
+	"log/slog"
 	"net"
 	"net/http"
 	"slices"
@@ -27,8 +28,9 @@
 // open request for the longest.
 type clients struct {
 	net.Listener
-	most  int
-	freed chan struct{} // a connection has ended
+	most    int
+	metrics *metrics
+	freed   chan struct{} // a connection has ended
 
 	mu      sync.Mutex
 	conns   map[*clientConn]struct{}
@@ -45,6 +47,9 @@
 	phase   atomic.Int32 // changed under books.mu
 	ahead   []byte       // what came behind a request that is open; its one reader's own
 
+	// request is the one that is open, for the log; nil: none.
+	request atomic.Pointer[exchange]
+
 	// Guarded by books.mu:
 	place *list.Element // in quiet; nil while a request is open
 	since time.Time     // of the last sign of life
@@ -81,6 +86,7 @@
 	}
 	for c.ahead = append(c.ahead, p[:n]...); err == nil; {
 		if len(c.ahead) >= mostAhead {
+			c.books.metrics.add(connectionsFlooded)
 			return 0, errFlood
 		}
 		c.ahead = slices.Grow(c.ahead, mostAhead/4)
@@ -99,7 +105,7 @@
 }
 
 func newClients(l net.Listener, most int) *clients {
-	return &clients{Listener: l, most: most, freed: make(chan struct{}, 1), conns: map[*clientConn]struct{}{}}
+	return &clients{Listener: l, most: most, metrics: &metrics{}, freed: make(chan struct{}, 1), conns: map[*clientConn]struct{}{}}
 }
 
 // Accept returns the next connection that there is room for. One for which none
@@ -112,6 +118,7 @@
 		}
 		for left := leastGrace; ; left -= roomLook {
 			if taken := c.take(conn); taken != nil {
+				c.metrics.add(connectionsAccepted)
 				return taken, nil
 			}
 			if left <= 0 {
@@ -122,6 +129,7 @@
 			case <-time.After(roomLook):
 			}
 		}
+		c.metrics.add(connectionsWithoutRoom)
 		conn.Close()
 	}
 }
@@ -140,6 +148,7 @@
 			break // all others have been quiet for less
 		}
 		if c.evict(q) {
+			c.metrics.add(connectionsEvicted)
 			gone++
 		}
 		e = next
@@ -252,6 +261,30 @@
 	}
 }
 
+// LogValue tells how many connections there are, by phase.
+func (c *clients) LogValue() slog.Value {
+	var phases [open + 1]int
+	c.mu.Lock()
+	for q := range c.conns {
+		phases[q.phase.Load()]++
+	}
+	c.mu.Unlock()
+	return slog.GroupValue(slog.Int("idle", phases[quiet]), slog.Int("reading", phases[begun]), slog.Int("open", phases[open]))
+}
+
+// unanswered lists requests that have been taken and not answered, so many at most.
+func (c *clients) unanswered(most int) []openRequest {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []openRequest
+	for q := range c.conns {
+		if x := q.request.Load(); x != nil && len(list) < most {
+			list = append(list, openRequest{id: x.id, class: x.class, client: q.RemoteAddr().String(), open: time.Since(x.readAt)})
+		}
+	}
+	return list
+}
+
 // ended waits until no connection is left, for so long at most, and closes those
 // that are still quiet: the server may just have been about to wait.
 func (c *clients) ended(most time.Duration) bool {
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
 	"slices"
@@ -28,6 +29,17 @@
 	Sockets   int // file descriptors
 	Known     Listing
 	wire.Deployment
+
+	// Log takes the gateway's lines; nil: slog.Default. It doesn't come from the file.
+	Log *slog.Logger
+}
+
+// logger returns where lines go.
+func (c *Config) logger() *slog.Logger {
+	if c.Log == nil {
+		return slog.Default()
+	}
+	return c.Log
 }
 
 // least are the limits below which a gateway can't do its work.
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
-	"log"
+	"log/slog"
 	"math"
 	"net/http"
 	"slices"
@@ -86,6 +86,7 @@
 	inUse        bool // requests are sent by a list, be it an older one
 	late         int  // calls for the whole list, in a row, that ended before it had come
 	heard        func(Listing)
+	log          *slog.Logger
 }
 
 // newWatcher makes a watch for a gateway that may go on sending to a draining
@@ -94,7 +95,7 @@
 // over, and the next on its way, well within that time. inUse tells that requests
 // are sent by an older list meanwhile.
 func newWatcher(address string, drainGrace time.Duration, inUse bool, heard func(Listing)) *watcher {
-	w := &watcher{address: address, inUse: inUse, heard: heard,
+	w := &watcher{address: address, inUse: inUse, heard: heard, log: slog.Default(),
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxConnsPerHost: 2}}}
 	w.answer = min(max(time.Duration(answerShare*float64(drainGrace)), leastAnswer), mostWatchAnswer)
 	w.wait = time.Duration(watchShare / answerShare * float64(w.answer))
@@ -119,7 +120,7 @@
 		}
 		if ctx.Err() == nil && time.Since(complained) > complaintGap {
 			complained = time.Now()
-			log.Printf("discovery: %v", err)
+			w.log.Warn("discovery can't be asked", "address", w.address, "error", err)
 		}
 		w.client.CloseIdleConnections()
 		select {
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -44,7 +44,9 @@
 
 // exchange is one request of a client, from its last byte to its final answer.
 type exchange struct {
-	id     string        // the client's own
+	id     string // the client's own
+	class  string // its name
+	readAt time.Time
 	ask    rules.Request // the loop gives it its id
 	method string
 	uri    string
@@ -108,6 +110,7 @@
 	}
 	x, status, err := f.read(w, r)
 	if err != nil {
+		f.loop.metrics.add(requestsInvalid)
 		// Danger: what follows a request that was not understood may be a part of it.
 		w.Header().Set("Connection", "close")
 		http.Error(w, err.Error(), status)
@@ -125,10 +128,13 @@
 		return
 	}
 	if f.closed.Load() {
+		f.loop.metrics.add(requestsWhileStopping)
 		// Danger: what is taken so late may still be out when the gateway is killed.
 		f.write(w, answer{status: http.StatusServiceUnavailable})
 		return
 	}
+	conn.request.Store(x)
+	defer conn.request.Store(nil)
 	if !f.loop.post(arrival{x}) {
 		f.write(w, answer{status: http.StatusInternalServerError})
 		return
@@ -180,6 +186,8 @@
 	}
 	x.ask = ask
 	x.id = r.Header.Get(idHeader)
+	x.class = f.deploy.ClassNames[ask.Class]
+	x.readAt = time.Now()
 	class := &f.deploy.Classes[ask.Class]
 	switch key := r.Header.Get(keyHeader); {
 	case class.Effect == rules.Repeatable && r.Method != http.MethodGet,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,9 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -16,13 +15,11 @@
 )
 
 const (
-	reserved     = 64                     // descriptors for the counter, discovery and the runtime
-	clientShare  = 0.75                   // of the other descriptors, for clients; backends get the rest
-	clientMemory = 0.25                   // of the memory, for what stands idle with clients
-	clientCost   = 24 << 10               // bytes of an idle connection: two buffers, a stack and the books
-	knownAfter   = 3 * time.Second        // without discovery, the list known from before has to do
-	stayFor      = 600 * time.Millisecond // new connections still come so long after a stop was asked for
-	stopMargin   = 500 * time.Millisecond // for the last answers after the longest deadline
+	reserved     = 64              // descriptors for the counter, discovery and the runtime
+	clientShare  = 0.75            // of the other descriptors, for clients; backends get the rest
+	clientMemory = 0.25            // of the memory, for what stands idle with clients
+	clientCost   = 24 << 10        // bytes of an idle connection: two buffers, a stack and its entries in tables
+	knownAfter   = 3 * time.Second // without discovery, the list known from before has to do
 )
 
 // Reload tells a running gateway that its configuration has been replaced.
@@ -47,94 +44,116 @@
 	return int(min(bySockets, byMemory))
 }
 
+// gateway is a running gateway: its parts, and what ends them.
+type gateway struct {
+	config  *Config
+	log     *slog.Logger
+	front   *frontend
+	clients *clients
+	server  *http.Server
+	calls   *counter // nil where the deployment has none
+
+	inner     context.Context // of all parts but those of the clients; it ends after them
+	parts     sync.WaitGroup
+	discovery string // the address that is watched
+	unwatch   func() // ends the watch and waits for its end
+}
+
 func serve(ctx context.Context, c *Config, listener net.Listener, reload Reload) error {
 	most := c.mostClients()
 	pools := newPools(seconds(c.ConnectTimeout), seconds(c.KeepAlive), c.Sockets-reserved-most)
-	var calls *counter
+	g := &gateway{config: c, log: c.logger()}
 	if c.Settings.Counter {
-		calls = newCounter(c.Counter, seconds(c.CounterTimeout))
+		g.calls = newCounter(c.Counter, seconds(c.CounterTimeout))
 	}
-	front := &frontend{deploy: &c.Deployment}
-	front.loop = newLoop(c, pools, calls, func() { front.ready.Store(true) })
+	g.front = &frontend{deploy: &c.Deployment}
+	loop := newLoop(c, pools, g.calls, func() { g.ready("discovery") })
+	g.front.loop = loop
 
 	inner, stop := context.WithCancel(context.Background())
-	var wg sync.WaitGroup
-	defer front.loop.attempts.Wait() // after the loop, which starts them, and the sweep, which ends them
-	defer wg.Wait()
+	g.inner = inner
+	defer loop.attempts.Wait() // after the loop, which starts them, and the sweep, which ends them
+	defer g.parts.Wait()
 	defer stop()
-	front.loop.list(c.Known, rules.CachedList)
-	wg.Go(func() { front.loop.run(inner) })
-	wg.Go(func() { pools.sweep(inner) })
-	if calls != nil {
-		wg.Go(func() { calls.run(inner) })
-	}
-	watch := func(address string, inUse bool) (end func()) {
-		ctx, cancel := context.WithCancel(inner)
-		ended := make(chan struct{})
-		wg.Go(func() {
-			defer close(ended)
-			newWatcher(address, seconds(c.DrainGrace), inUse, front.loop.hear).run(ctx)
-		})
-		return func() { cancel(); <-ended }
+	loop.list(c.Known, rules.CachedList)
+	g.parts.Go(func() { loop.run(inner) })
+	g.parts.Go(func() { pools.sweep(inner) })
+	g.parts.Go(func() { loop.metrics.report(inner, g.log) })
+	if g.calls != nil {
+		g.parts.Go(func() { g.calls.run(inner) })
 	}
-	unwatch := watch(c.Discovery, len(c.Known.Instances) > 0)
+	g.watch(c.Discovery, len(c.Known.Instances) > 0)
 	known := time.AfterFunc(knownAfter, func() {
 		if len(c.Known.Instances) > 0 {
-			front.ready.Store(true)
+			g.ready("the list known from before")
 		}
 	})
 	defer known.Stop()
 
-	callers := newClients(listener, most)
-	server := front.server(callers, longest(c))
+	g.clients = newClients(listener, most)
+	g.clients.metrics = &loop.metrics
+	g.server = g.front.server(g.clients, longest(c))
+	g.server.ErrorLog = slog.NewLogLogger(g.log.Handler(), slog.LevelWarn)
 	failed := make(chan error, 1)
-	wg.Go(func() { failed <- server.Serve(callers) })
-	for discovery := c.Discovery; ; {
+	g.parts.Go(func() { failed <- g.server.Serve(g.clients) })
+	g.log.Info("started", "listen", listener.Addr().String(), "discovery", c.Discovery, "counter", c.Counter,
+		"known_backends", len(c.Known.Instances), "most_clients", most)
+	for {
 		select {
 		case err := <-failed:
 			return fmt.Errorf("clients: %w", err)
 		case <-ctx.Done():
-			return shutdown(c, front, callers, server)
+			return g.shutdown()
 		case <-reload.Signal:
-			next, err := reload.Read()
-			if err != nil {
-				log.Printf("the old configuration stays: %v", err)
-				continue
-			}
-			if calls != nil && next.Settings.Counter {
-				calls.move(next.Counter)
-			}
-			if next.Discovery != discovery {
-				// Danger: a version of the old address may mean nothing to the new one. The new
-				// watch starts from the whole list; until that comes, the old list stands.
-				unwatch()
-				discovery, unwatch = next.Discovery, watch(next.Discovery, true)
-			}
-			if next.Listen != c.Listen || next.Sockets != c.Sockets || next.MemoryMB != c.MemoryMB ||
-				next.Cores != c.Cores || !reflect.DeepEqual(next.Deployment, c.Deployment) {
-				log.Print("discovery and counter are as the new configuration says; the rest of it needs a restart")
-			}
+			g.reload(reload.Read)
 		}
 	}
 }
 
-// shutdown takes what still comes for a while, answers what is held, and ends.
-// Danger: a request may cross the closing of its idle connection; its client
-// then sends it again on a new one. So idle connections go at once, while new
-// ones are still taken, and the listener goes later. The server's own Shutdown is
-// of no use: it closes idle connections also when a request waits on them unread.
-func shutdown(c *Config, front *frontend, callers *clients, server *http.Server) error {
-	front.leaving.Store(true)
-	callers.leave()
-	time.Sleep(stayFor)
-	front.closed.Store(true)
-	callers.Close()
-	ended := callers.ended(longest(c) + stopMargin - stayFor)
-	server.Close()
-	if !ended {
-		return errors.New("clients were still open at the end")
+// ready lets the front send clients here, once.
+func (g *gateway) ready(list string) {
+	if g.front.ready.CompareAndSwap(false, true) {
+		g.log.Info("ready", "list", list)
+	}
+}
+
+// watch follows discovery at an address. inUse tells that requests are sent by an
+// older list meanwhile.
+func (g *gateway) watch(address string, inUse bool) {
+	ctx, cancel := context.WithCancel(g.inner)
+	ended := make(chan struct{})
+	w := newWatcher(address, seconds(g.config.DrainGrace), inUse, g.front.loop.hear)
+	w.log = g.log
+	g.parts.Go(func() {
+		defer close(ended)
+		w.run(ctx)
+	})
+	g.discovery = address
+	g.unwatch = func() { cancel(); <-ended }
+}
+
+// reload takes up the addresses of a new configuration. One that can't be read or
+// run with changes nothing.
+func (g *gateway) reload(read func() (Config, error)) {
+	next, err := read()
+	if err != nil {
+		g.log.Warn("the old configuration stays", "error", err)
+		return
+	}
+	c := g.config
+	if g.calls != nil && next.Settings.Counter {
+		g.calls.move(next.Counter)
+	}
+	if next.Discovery != g.discovery {
+		// A version of the old address may mean nothing to the new one. The new watch
+		// starts from the whole list; until that comes, the old list stands.
+		g.unwatch()
+		g.watch(next.Discovery, true)
 	}
-	return nil
+	restart := next.Listen != c.Listen || next.Sockets != c.Sockets || next.MemoryMB != c.MemoryMB ||
+		next.Cores != c.Cores || !reflect.DeepEqual(next.Deployment, c.Deployment)
+	g.log.Info("discovery and counter are as the new configuration says", "discovery", next.Discovery,
+		"counter", next.Counter, "rest_needs_restart", restart)
 }
 
 // longest is how long a request may be held.
--- a/internal/gateway/gone_test.go
+++ b/internal/gateway/gone_test.go
@@ -71,7 +71,7 @@
 	t.Helper()
 	gate := make(chan struct{})
 	b.gate.Store(&gate)
-	b.loop.post(news{kind: rules.Delta})
+	b.loop.post(listed{kind: rules.Delta})
 	wait(t, b.held, "list")
 	free = sync.OnceFunc(func() { close(gate) })
 	t.Cleanup(free)
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -3,7 +3,7 @@
 import (
 	"container/heap"
 	"context"
-	"log"
+	"log/slog"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -32,7 +32,7 @@
 		outcome rules.Outcome
 		total   float64
 	}
-	news struct {
+	listed struct {
 		listing Listing
 		kind    rules.ListKind
 	}
@@ -50,6 +50,8 @@
 // in order; it runs the module's actions and waits for no socket.
 type Loop struct {
 	clock    clock
+	log      *slog.Logger
+	metrics  metrics
 	deploy   *wire.Deployment
 	gateway  *rules.Gateway
 	backends backends
@@ -74,7 +76,7 @@
 }
 
 func newLoop(c *Config, b backends, k *counter, onListed func()) *Loop {
-	l := &Loop{clock: newClock(), deploy: &c.Deployment, backends: b, counter: k, onListed: onListed,
+	l := &Loop{clock: newClock(), log: c.logger(), deploy: &c.Deployment, backends: b, counter: k, onListed: onListed,
 		inbox: make(chan any, inboxSize), stopped: make(chan struct{}),
 		live: map[rules.RequestID]*exchange{}, open: map[string]struct{}{}, names: map[rules.BackendID]string{},
 		calls: map[uint64][]*call{}}
@@ -99,7 +101,7 @@
 	if told.Reset {
 		kind = rules.FullList
 	}
-	l.post(news{told, kind})
+	l.post(listed{told, kind})
 }
 
 // run works until ctx ends.
@@ -133,6 +135,7 @@
 		l.arrive(m.x)
 	case clientGone:
 		if m.x.open {
+			l.metrics.add(clientsLeft)
 			m.x.open = false
 			l.handle(rules.ClientGone{Request: m.x.ask.ID})
 			l.keepBack(m.x)
@@ -142,7 +145,8 @@
 		l.endAttempt(m.a, m.result)
 	case callDone:
 		l.endCall(m.k, m.outcome, m.total)
-	case news:
+	case listed:
+		l.metrics.add(listsReceived)
 		l.list(m.listing, m.kind)
 	}
 }
@@ -164,6 +168,7 @@
 // arrive gives a request an id of its own and hands it to the module.
 func (l *Loop) arrive(x *exchange) {
 	if l.deploy.MaxOpen > 0 && len(l.live) >= l.deploy.MaxOpen {
+		l.metrics.add(requestsOverOpenLimit)
 		x.reply <- answer{status: http.StatusServiceUnavailable} // nothing was sent for it
 		return
 	}
@@ -171,12 +176,14 @@
 	// what a backend made for the first.
 	// They are forgotten after a while, or when many come; those of requests that are open are not.
 	if _, open := l.open[x.id]; open || !l.ids.add(x.id, x.ask.Sent) {
+		l.metrics.add(requestsConflicting)
 		x.reply <- answer{status: http.StatusConflict}
 		return
 	}
 	for taken := true; taken; _, taken = l.live[l.nextID] {
 		l.nextID = max(l.nextID+1, 1) // 0 stands for no request
 	}
+	l.metrics.add(requestsTaken)
 	x.ask.ID, x.open = l.nextID, true
 	l.live[x.ask.ID] = x
 	l.open[x.id] = struct{}{}
@@ -191,7 +198,7 @@
 	for _, i := range told.Instances {
 		b, err := i.backend(l.deploy)
 		if err != nil {
-			log.Printf("discovery: %v", err)
+			l.log.Warn("discovery: an entry can't be read", "error", err)
 			// Danger: what can't be read of a backend in use may be that it drains.
 			b = rules.Backend{ID: backendID(i.ID), State: rules.Draining}
 			if l.names[b.ID] != i.ID {
@@ -199,7 +206,7 @@
 			}
 		}
 		if name, known := l.names[b.ID]; known && name != i.ID {
-			log.Printf("discovery: instances %q and %q have one id; the second is left out", name, i.ID)
+			l.log.Warn("discovery: two instances have one id; the second is left out", "first", name, "second", i.ID)
 			continue
 		}
 		kept[b.ID] = true
@@ -234,15 +241,17 @@
 		case rules.Cancel:
 			l.cancel(a)
 		case rules.Refuse:
+			l.metrics.refused[a.Reason].Add(1)
 			l.answer(a.Request, answer{status: http.StatusTooManyRequests, retryAfter: a.RetryAfter})
 		case rules.Fail:
+			l.metrics.failed[a.Reason].Add(1)
 			l.answer(a.Request, answer{status: http.StatusBadGateway})
 		case rules.SetTimer:
 			l.timers.add(timerEntry{at: l.clock.now() + max(a.In, 0), token: a.Token, request: a.Request})
 		case rules.Count:
 			l.count(a)
 		case rules.Log:
-			log.Print(a.Text)
+			l.log.Info(a.Text)
 		case rules.Subscribe: // the watch always runs
 		}
 	}
@@ -253,7 +262,7 @@
 func (l *Loop) send(s rules.Send) {
 	x := l.live[s.Request]
 	if x == nil {
-		log.Printf("request %d is not known", s.Request)
+		l.log.Error("an attempt for a request that is not known", "request", s.Request)
 		return
 	}
 	now := l.clock.now()
@@ -264,6 +273,9 @@
 	a.until = l.clock.at(a.deadline)
 	x.attempts = append(x.attempts, a)
 	x.out++
+	if a.number > 0 {
+		l.metrics.add(attemptsRepeated)
+	}
 	if !x.open || x.left.Load() || a.number >= max(l.deploy.MaxAttempts, 1) || a.deadline <= now {
 		l.endAttempt(a, result{outcome: rules.Moot})
 		return
@@ -284,9 +296,11 @@
 		return
 	}
 	a.ended = true
+	l.metrics.attempts[res.outcome].Add(1)
 	x := a.x
 	x.out--
 	if res.outcome == rules.Served && x.open {
+		l.metrics.add(requestsServed)
 		header := passedOn(res.header)
 		header.Del(loadHeader) // for gateways, not for clients
 		l.answer(x.ask.ID, answer{status: http.StatusOK, header: header, body: res.body})
@@ -366,6 +380,7 @@
 		return
 	}
 	k.ended, k.outcome, k.total = true, o, total
+	l.metrics.calls[o].Add(1)
 	if o == rules.TimedOut || o == rules.ConnectFailed || o == rules.Broken {
 		l.unanswered.Add(1)
 	}
--- a/rules/quota.go
+++ b/rules/quota.go
@@ -157,7 +157,7 @@
 			}
 			// Danger: were places leased, each gateway's asks would look to the others like places that are
 			// taken, and crowd the counter. So each has its own, and a client comes to another gateway.
-			g.giveBack(j)
+			g.giveBack(j, ReasonCap)
 			continue
 		}
 		if limited {
@@ -181,7 +181,7 @@
 					return // held
 				}
 				if !c.terms.overWorth || !c.takeLocal(g.now, j.Units) {
-					g.giveBack(j)
+					g.giveBack(j, ReasonQuota)
 					continue
 				}
 				j.level = 0 // beyond the quota, as far as is known here
@@ -190,7 +190,7 @@
 					if g.set.Counter && c.terms.few && c.restTill+g.latency < j.giveUp {
 						return // held: a crowded counter may have room in a moment
 					}
-					g.giveBack(j)
+					g.giveBack(j, ReasonQuota)
 					continue
 				}
 				c.owed += j.Units
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -128,7 +128,7 @@
 	who := g.customerOf(r)
 	j.customer = who
 	if j.giveUp < g.now+g.latency/2 {
-		g.giveBack(j)
+		g.giveBack(j, ReasonTooLate)
 		return
 	}
 	at := len(who.waiting)
@@ -174,8 +174,11 @@
 	case j == nil:
 	case kind == timerLate && n < len(j.attempts) && !j.attempts[n].ended:
 		g.late(j, n)
-	case !j.done && !j.streams && (kind == timerEnd || kind == timerStart && len(j.attempts) == 0):
-		g.giveBack(j)
+	case j.done || j.streams:
+	case (kind == timerStart || kind == timerEnd) && len(j.attempts) == 0:
+		g.giveBack(j, ReasonNotSent)
+	case kind == timerEnd:
+		g.giveBack(j, ReasonNoAnswer)
 	}
 }
 
@@ -189,7 +192,7 @@
 		higher += g.arrivals[l]
 	}
 	if g.full(j.level) && ahead*x >= (j.giveUp-g.now-g.latency)*max(1-x*higher, 0) {
-		g.giveBack(j)
+		g.giveBack(j, ReasonQueue)
 		return
 	}
 	g.queues[j.level] = append(g.queues[j.level], j)
@@ -369,7 +372,7 @@
 		g.close(j)
 	case j.out > 0: // another attempt may still answer
 	case !g.again(j):
-		g.giveBack(j)
+		g.giveBack(j, ReasonNoAttempts)
 	}
 	if j.done && j.out == 0 {
 		delete(g.jobs, j.ID)
@@ -419,7 +422,7 @@
 
 // giveBack ends a request without an answer of a backend: refused where that is true to the rules, else
 // failed.
-func (g *Gateway) giveBack(j *job) {
+func (g *Gateway) giveBack(j *job, reason Reason) {
 	if j.class.Effect == Repeatable || !j.mayRun || j.class.Effect == ByKey && j.class.Scope == ScopeAll {
 		advice := 0.0
 		if g.set.CanAdvise && j.paid {
@@ -430,9 +433,9 @@
 				advice = min(g.set.MaxAdvice, g.latency) // another gateway may have a place by then
 			}
 		}
-		g.do(Refuse{Request: j.ID, RetryAfter: advice})
+		g.do(Refuse{Request: j.ID, RetryAfter: advice, Reason: reason})
 	} else {
-		g.do(Fail{Request: j.ID})
+		g.do(Fail{Request: j.ID, Reason: reason})
 	}
 	g.close(j)
 }
--- a/rules/types.go
+++ b/rules/types.go
@@ -163,8 +163,35 @@
 	Broken
 	Cancelled
 	Moot
+	OutcomeCount // how many outcomes there are
 )
 
+var outcomeNames = [OutcomeCount]string{"served", "error", "turned_away", "timed_out", "connect_failed", "broken",
+	"cancelled", "not_sent"}
+
+// String names the outcome for logs.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Reason says why a request got a final answer that no backend made.
+type Reason int
+
+// The reasons.
+const (
+	ReasonQuota      Reason = iota // its customer has no units left
+	ReasonCap                      // its customer has no place left for open requests at this gateway
+	ReasonTooLate                  // it came with too little time
+	ReasonQueue                    // the queue is too long for the time it has
+	ReasonNotSent                  // no attempt began in time
+	ReasonNoAnswer                 // no attempt was answered in time
+	ReasonNoAttempts               // an attempt failed, and no further one is allowed
+	ReasonCount                    // how many reasons there are
+)
+
+var reasonNames = [ReasonCount]string{"quota", "cap", "too_late", "queue", "not_sent", "no_answer", "no_attempts"}
+
+// String names the reason for logs.
+func (r Reason) String() string { return reasonNames[r] }
+
 // Event is one thing that happened to this gateway.
 type Event interface{ event() }
 
@@ -277,10 +304,14 @@
 type Refuse struct {
 	Request    RequestID
 	RetryAfter float64
+	Reason     Reason
 }
 
 // Fail is a final answer with no promise about the effect.
-type Fail struct{ Request RequestID }
+type Fail struct {
+	Request RequestID
+	Reason  Reason
+}
 
 // SetTimer asks for a Timer event. With a Request it may be left out once that
 // request is over and none of its attempts is out.
