--- /dev/null
+++ b/cmd/elderyard/stop_test.go
@@ -0,0 +1,166 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"linnetbend/internal/gateway"
+	"linnetbend/internal/lab/real"
+	"linnetbend/internal/lab/registry"
+	"linnetbend/internal/lab/soak"
+)
+
+const sweepStep = 20 * time.Millisecond // between the moments of a sweep
+
+// sweep is one stop with a request on each of many connections that were opened before it.
+type sweep struct {
+	deadline time.Duration // of the one class, whose requests are unsafe to repeat
+	until    time.Duration // after SIGTERM: the last moment
+	half     bool          // the requests begin right after SIGTERM, and their last half comes at the moment
+}
+
+// A gateway that is told to stop answers every request that it takes, whatever moment of the stop the request comes at and
+// whatever the deadlines are, while all backends hang. The incident's own values are a deadline of 2.412 s and a request
+// 0.600 s after SIGTERM.
+func TestStopAnswersWhatItTook(t *testing.T) {
+	t.Parallel()
+	for _, deadline := range []time.Duration{300 * time.Millisecond, time.Second, 2412 * time.Millisecond,
+		3 * time.Second, 4500 * time.Millisecond} {
+		t.Run(deadline.String(), func(t *testing.T) {
+			t.Parallel()
+			sendings := sweep{deadline: deadline, until: 800 * time.Millisecond}.play(t)
+			answered := 0
+			for _, s := range sendings {
+				if s.Status != 0 {
+					answered++
+				}
+			}
+			if answered < len(sendings)/4 {
+				t.Errorf("%d of %d requests were answered: the sweep did not play", answered, len(sendings))
+			}
+		})
+	}
+}
+
+// A request that a stop finds half read, or that begins during it, is answered however late its last byte comes: the
+// gateway has read a part of it, so its client can't tell the close of its connection from that of an idle one.
+func TestStopAnswersHalfRequests(t *testing.T) {
+	t.Parallel()
+	for _, deadline := range []time.Duration{300 * time.Millisecond, time.Second} {
+		t.Run(deadline.String(), func(t *testing.T) {
+			t.Parallel()
+			sendings := sweep{deadline: deadline, until: deadline + 700*time.Millisecond, half: true}.play(t)
+			for _, s := range sendings {
+				if s.Status == 0 {
+					t.Errorf("%s: bytes %.3f to %.3f, ended %.3f with no answer: %v", s.ID, s.First.Seconds(), s.Sent.Seconds(),
+						s.Ended.Seconds(), s.Err)
+				}
+			}
+		})
+	}
+}
+
+// play starts a gateway, stops it, and reports each broken rule. The gateway gets SIGKILL at the earliest moment, and must
+// have ended before.
+func (s sweep) play(t *testing.T) []soak.Sending {
+	t.Helper()
+	clock := soak.NewClock()
+	classes := []soak.Class{{Name: string(soak.Once), Effect: soak.Once, Deadline: s.deadline}}
+	backends, discovery := hangingBackends(t, clock)
+	process, listen := startProcess(t, classes, discovery)
+	var conns []*soak.Conn
+	for range s.until / sweepStep {
+		conn, err := soak.Dial(clock, listen, 1, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conns = append(conns, conn)
+	}
+	life := soak.Life{Gateway: 1, Number: 1, Stopped: clock.Now()}
+	process.Signal(syscall.SIGTERM)
+	sendings := make([]soak.Sending, len(conns))
+	var sending sync.WaitGroup
+	for i, conn := range conns {
+		sending.Go(func() {
+			moment := time.Duration(i) * sweepStep
+			request := soak.Request{ID: fmt.Sprintf("%016x", i+1), Class: string(soak.Once), Method: "POST", Body: 12,
+				Patience: s.deadline}
+			if s.half {
+				request.Pieces, request.PieceGap = 2, moment
+			} else {
+				time.Sleep(time.Until(clock.At(life.Stopped + moment)))
+			}
+			sendings[i], _ = conn.Do(request)
+		})
+	}
+	select {
+	case <-process.Done():
+	case <-time.After(time.Until(clock.At(life.Stopped + soak.KillAfter(classes)))):
+		life.Killed = clock.Now()
+		t.Errorf("the process had not ended %.3f s after SIGTERM, when SIGKILL may come", (life.Killed - life.Stopped).Seconds())
+	}
+	life.Err, life.Ended, life.Log = process.Close(), clock.Now(), process.Log()
+	sending.Wait()
+	history := soak.History{Sendings: sendings, Lives: []soak.Life{life}}
+	for _, b := range backends {
+		history.Attempts = append(history.Attempts, b.Attempts()...)
+	}
+	if len(history.Attempts) == 0 {
+		t.Error("no request reached a backend: the sweep did not play")
+	}
+	for _, fault := range soak.Check(history).Faults {
+		t.Error(fault)
+	}
+	return sendings
+}
+
+// startProcess starts a gateway as the command does and waits until it is ready.
+func startProcess(t *testing.T, classes []soak.Class, discovery string) (process *real.Gateway, listen string) {
+	t.Helper()
+	listen, err := real.FreeAddress()
+	if err != nil {
+		t.Fatal(err)
+	}
+	setup := soak.Setup{Name: "n1", Listen: listen, Discovery: discovery, Sockets: 1024, Classes: classes,
+		Env: []string{"ELDERYARD_AS_COMMAND=1"}}
+	options, err := setup.Options()
+	if err != nil {
+		t.Fatal(err)
+	}
+	process, err = real.Start(t.Context(), real.Program{Command: "exec " + os.Args[0], Dir: "."}, options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { process.Close() })
+	if _, err := process.Ready(t.Context(), patience); err != nil {
+		t.Fatal(err)
+	}
+	return process, listen
+}
+
+// hangingBackends starts backends that take requests and never answer, and a discovery that lists them.
+func hangingBackends(t *testing.T, clock soak.Clock) (backends []*soak.Backend, discovery string) {
+	t.Helper()
+	var list []gateway.Instance
+	for i := range 12 {
+		b, err := soak.StartBackend(fmt.Sprintf("b-%d", i), clock, func(time.Duration) soak.Behavior { return soak.Behavior{Hang: true} })
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(b.Close)
+		backends = append(backends, b)
+		list = append(list, gateway.Instance{ID: b.Name, HostPort: b.Address(), Zone: "a", MachineType: "m", Lifecycle: "Ready", Weight: 1})
+	}
+	r := registry.New(list, registry.Options{})
+	address, err := r.Start(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { r.Close() })
+	return backends, address
+}
--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -26,7 +26,8 @@
 	net.Listener
 	accepted      func() // before the gateway has the connection
 	before, after func(*gatedConn)
-	conns         sync.Map // *gatedConn by the client's address
+	deadline      func(*gatedConn, time.Time) // before a deadline for reading is set
+	conns         sync.Map                    // *gatedConn by the client's address
 }
 
 type gatedConn struct {
@@ -67,6 +68,9 @@
 }
 
 func (c *gatedConn) SetReadDeadline(at time.Time) error {
+	if c.way.deadline != nil {
+		c.way.deadline(c, at)
+	}
 	err := c.TCPConn.SetReadDeadline(at)
 	if !at.IsZero() && at.Before(time.Now()) && c.armed.CompareAndSwap(true, false) {
 		close(c.ended)
@@ -344,6 +348,46 @@
 	}
 }
 
+// An idle connection whose server is about to wait for the next request as a stop comes is closed with the other idle
+// ones: at once, and not when the listener goes. Its client would go on using it meanwhile.
+func TestStopCrossesWaitForRequest(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	var r *rig
+	var shut atomic.Bool
+	stopped := make(chan struct{})
+	own := freeAddress(t)
+	way := &gated{deadline: func(c *gatedConn, at time.Time) {
+		// The server sets the longest deadline for the wait between two requests.
+		if c.RemoteAddr().String() == own.String() && time.Until(at) > idleTimeout/2 && shut.CompareAndSwap(true, false) {
+			c.armed.Store(true)
+			r.stop()
+			select {
+			case <-c.ended: // the stop has closed idle connections
+			case <-time.After(stayFor / 4): // or waits for this one
+			}
+			close(stopped)
+		}
+	}}
+	r = newRigBehind(t, func(l net.Listener) net.Listener { way.Listener = l; return way }, unchanged, backend)
+	shut.Store(true)
+	conn, err := (&net.Dialer{LocalAddr: own}).Dial("tcp", r.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(patience))
+	io.WriteString(conn, "GET "+readyPath+" HTTP/1.1\r\nHost: origin.svc\r\n\r\n")
+	wait(t, stopped, "stop")
+	began := time.Now()
+	if _, err := io.Copy(io.Discard, conn); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(began); took > stayFor/2 {
+		t.Errorf("closed %.3f s after the other idle ones", took.Seconds())
+	}
+}
+
 // crowded is a backend whose backlog is full, so that dials to it hang until it is
 // freed.
 type crowded struct {
--- a/internal/lab/real/gateway.go
+++ b/internal/lab/real/gateway.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"time"
 
 	"linnetbend/internal/lab/proc"
@@ -38,6 +39,9 @@
 	Cores              float64
 	MemoryMB           int
 	Settings           json.RawMessage
+	Listen             string   // where clients connect; "": a free address
+	Sockets            int      // limit of descriptors; 0: what the lab needs
+	Env                []string // for the program, beside the configuration's path
 }
 
 // Gateway is a running gateway.
@@ -50,13 +54,19 @@
 
 // Start starts a gateway, which ends when ctx does. Stop must be called in any case.
 func Start(ctx context.Context, p Program, o Options) (*Gateway, error) {
-	address, err := freeAddress()
+	address, err := o.Listen, error(nil)
+	if address == "" {
+		address, err = FreeAddress()
+	}
 	if err != nil {
 		return nil, err
 	}
+	if o.Sockets == 0 {
+		o.Sockets = sockets
+	}
 	text, err := json.Marshal(map[string]any{"name": o.Name, "listen": address, "discovery": o.Discovery,
 		"counter": o.Counter, "seed": fmt.Sprintf("%016x", o.Seed), "settings": o.Settings,
-		"limits": map[string]any{"cores": o.Cores, "memory_mb": o.MemoryMB, "sockets": sockets}})
+		"limits": map[string]any{"cores": o.Cores, "memory_mb": o.MemoryMB, "sockets": o.Sockets}})
 	if err != nil {
 		return nil, err
 	}
@@ -66,7 +76,7 @@
 	}
 	g := &Gateway{Address: address, began: time.Now(), config: filepath.Join(dir, "config.json")}
 	if err = os.WriteFile(g.config, text, 0o600); err == nil {
-		g.process, err = proc.Start(ctx, "/bin/sh", []string{"EDGE_CONFIG=" + g.config}, nil,
+		g.process, err = proc.Start(ctx, "/bin/sh", append([]string{"EDGE_CONFIG=" + g.config}, o.Env...), nil,
 			"-c", `cd "$0" && `+p.Command, p.Dir)
 	}
 	if err != nil {
@@ -76,9 +86,9 @@
 	return g, nil
 }
 
-// freeAddress finds an address that nothing listens at. Another program may take
+// FreeAddress finds an address that nothing listens at. Another program may take
 // it before the gateway does; the gateway then ends with a message.
-func freeAddress() (string, error) {
+func FreeAddress() (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
@@ -121,6 +131,28 @@
 // Usage is what the gateway's process has used so far. It is an error if it has ended.
 func (g *Gateway) Usage() (proc.Usage, error) { return proc.Of(g.process.Pid) }
 
+// Signal sends a signal. One to a process that has ended does nothing.
+func (g *Gateway) Signal(s syscall.Signal) {
+	select {
+	case <-g.process.Done():
+	default:
+		syscall.Kill(g.process.Pid, s)
+	}
+}
+
+// Done is closed when the process has ended.
+func (g *Gateway) Done() <-chan struct{} { return g.process.Done() }
+
+// Close kills the process if it runs, and returns the error of its end: nil for exit status 0 alone.
+func (g *Gateway) Close() error {
+	defer os.RemoveAll(filepath.Dir(g.config))
+	g.Signal(syscall.SIGKILL)
+	return g.process.Wait()
+}
+
+// Log is the end of what the gateway has written to its log.
+func (g *Gateway) Log() string { return g.process.Stderr() }
+
 // Stop ends the gateway with SIGTERM, and by force if it stays. It returns the
 // error of its end.
 func (g *Gateway) Stop() error {
--- /dev/null
+++ b/internal/lab/soak/setup.go
@@ -0,0 +1,77 @@
+package soak
+
+import (
+	"encoding/json"
+	"time"
+
+	"linnetbend/internal/lab/real"
+)
+
+const (
+	planName  = "standard"
+	memoryMB  = 192                    // limit of a gateway
+	counted   = 3 * time.Second        // a longer deadline counts as this where a kill is due
+	killDelay = 700 * time.Millisecond // from SIGTERM and the longest deadline to the earliest SIGKILL
+)
+
+// Class is one class of requests in a gateway's settings.
+type Class struct {
+	Name     string
+	Effect   Effect
+	Deadline time.Duration
+}
+
+// Effect says how often a request may take effect, in the settings' words.
+type Effect string
+
+// The effects.
+const (
+	Repeatable Effect = "repeatable"
+	ByKey      Effect = "by_key"
+	Once       Effect = "once"
+)
+
+// Setup is what a gateway is told.
+type Setup struct {
+	Name, Listen, Discovery string
+	Sockets                 int // limit of descriptors
+	Classes                 []Class
+	Env                     []string // for its program
+}
+
+// Options are the setup as a real gateway's.
+func (s Setup) Options() (real.Options, error) {
+	settings, err := s.settings()
+	return real.Options{Name: s.Name, Discovery: s.Discovery, Seed: 1, Cores: 1, MemoryMB: memoryMB, Settings: settings,
+		Listen: s.Listen, Sockets: s.Sockets, Env: s.Env}, err
+}
+
+func (s Setup) settings() (json.RawMessage, error) {
+	var classes []map[string]any
+	for _, c := range s.Classes {
+		class := map[string]any{"name": c.Name, "effect": c.Effect, "points": 1, "lateWorth": 0.5,
+			"objectiveS": c.Deadline.Seconds() / 2, "deadlineS": c.Deadline.Seconds()}
+		if c.Effect == ByKey {
+			class["keyScope"], class["windowS"] = "all", 8
+		}
+		classes = append(classes, class)
+	}
+	return json.Marshal(map[string]any{
+		"fleetSize": 1, "tickS": 0.004, "localities": []string{"a"}, "kinds": []string{"m"},
+		"allowed": map[string]any{"cancel": true, "connectTimeoutS": 0.25, "keepaliveS": 30, "mostTries": 3,
+			"retryAfter": true, "maxRetryAfterS": 0.5},
+		"obligations": map[string]any{"answerSlackS": 0.016, "drainGraceS": 2},
+		"classes":     classes,
+		"packages":    []map[string]any{{"name": planName, "pays": 1}},
+		"familyInfo":  map[string]any{"mostUnits": 4},
+	})
+}
+
+// KillAfter is the earliest moment of a SIGKILL, counted from SIGTERM.
+func KillAfter(classes []Class) time.Duration {
+	longest := time.Duration(0)
+	for _, c := range classes {
+		longest = max(longest, c.Deadline)
+	}
+	return min(longest, counted) + killDelay
+}
