--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -117,10 +117,6 @@
 		return
 	}
 	conn := r.Context().Value(connKey{}).(*clientConn)
-	if conn.evicted.Load() {
-		// Danger: the client sends it again elsewhere; taken here as well, it would run twice.
-		panic(http.ErrAbortHandler)
-	}
 	if ended(conn.Conn) {
 		// Danger: its connection may have waited long to be accepted, and the server's watch for a client that
 		// leaves has only just begun.
