Refuse a half-read request that is given up, instead of closing over it

Cause, the same class as before: the server closes without a word a connection on which a part of a request's head has come and the rest has not in time, at a stop at the process's end, else after 2.5 s or to make room. A client whose last byte crosses that close has sent a whole request on a connection that was accepted, and gets nothing. Seen in TestStopAnswersHalfRequests: all that were whole after the process's end, and those that never were before the earliest SIGKILL kept the process open.

Change: the goroutine that reads looks for bytes once more without waiting, whatever the deadline, then answers 408, or 503 where a stop or the lack of room is why, ends its sending, and takes in for 0.25 s what still comes. A body that is cut so gets the same statuses; it was 400.

TestHalfRequests wanted an error or a close, and wants the 408 now, for a half head and a half body.

--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -144,6 +144,13 @@
 // peek tells how many bytes, at most one, wait on a connection: 0 at its end, and
 // EAGAIN where nothing has come.
 func peek(conn net.Conn) (n int, err error) {
+	var b [1]byte
+	return receive(conn, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+}
+
+// receive reads from the socket of a connection, whatever its deadline is. The flags must keep it from waiting. n is 0
+// with no error at the connection's end; a connection without a socket has nothing.
+func receive(conn net.Conn, p []byte, flags int) (n int, err error) {
 	s, ok := conn.(syscall.Conn)
 	if !ok {
 		return 0, syscall.EAGAIN
@@ -154,10 +161,8 @@
 	}
 	// Control and not Read, which would fail for a time-out that passed since the
 	// last use, and would wait for a reader.
-	closed := raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
+	closed := raw.Control(func(fd uintptr) { n, _, err = syscall.Recvfrom(int(fd), p, flags) })
+	n = max(n, 0) // -1 beside an error
 	if closed != nil {
 		return 0, closed
 	}
--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -3,10 +3,14 @@
 import (
 	"container/list"
 	"errors"
+	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"slices"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -60,10 +64,8 @@
 		return n, nil
 	}
 	n, err := c.Conn.Read(p)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.phase.Load() == idle && !alive(c.Conn) {
-		// A request came as the wait for it ended.
-		c.table.begin(c)
-		return c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err = c.timedOut(p, err)
 	}
 	if n > 0 && c.phase.Load() == idle {
 		c.table.begin(c)
@@ -71,6 +73,22 @@
 	return n, err
 }
 
+// timedOut looks once more, without waiting, for bytes that came as a wait ended; to close over them would reset the
+// connection. If there are none, and a part of a request has come, the client gets an answer.
+func (c *clientConn) timedOut(p []byte, timeout error) (int, error) {
+	n, err := receive(c.Conn, p, syscall.MSG_DONTWAIT)
+	switch {
+	case errors.Is(err, syscall.EAGAIN) && c.phase.Load() == reading:
+		c.refuse(c.table.refusal(c))
+		return 0, timeout
+	case errors.Is(err, syscall.EAGAIN):
+		return 0, timeout
+	case n == 0 && err == nil:
+		return 0, io.EOF
+	}
+	return n, err
+}
+
 // watch waits for the end of the connection and puts aside what comes before it.
 func (c *clientConn) watch(p []byte) error {
 	n, err := c.Conn.Read(p)
@@ -94,15 +112,37 @@
 	return c.applyDeadline()
 }
 
-// applyDeadline sets the deadline that holds: the server's, or a moment in the past for a connection that is ending. It
-// is called under table.mu whenever one of them changes, so that neither undoes the other.
+// applyDeadline sets the deadline that holds: the server's, a moment in the past for a connection that is ending, or a
+// stop's for a request that is being read. It is called under table.mu whenever one of them changes, so that none undoes
+// another. The server has no deadline while it watches for a client that leaves, and then no other holds either.
 func (c *clientConn) applyDeadline() error {
-	if c.ending {
+	cutoff := c.table.cutoff
+	switch {
+	case c.ending:
 		return c.Conn.SetReadDeadline(time.Unix(1, 0))
+	case c.phase.Load() != idle && !cutoff.IsZero() && cutoff.Before(c.deadline):
+		return c.Conn.SetReadDeadline(cutoff)
 	}
 	return c.Conn.SetReadDeadline(c.deadline)
 }
 
+// lingerTime and mostLinger bound what is taken in after a refusal.
+const (
+	lingerTime = 250 * time.Millisecond
+	mostLinger = 16 << 10 // bytes
+)
+
+// refuse answers a request whose head is not waited for any longer; the server would close without a word, and a client
+// that has just sent the last byte could not tell that from a loss. What still comes is taken in for a while, since a
+// close over unread bytes would reset the connection under the answer.
+func (c *clientConn) refuse(status int) {
+	c.table.metrics.add(requestsUnfinished)
+	c.Conn.SetDeadline(time.Now().Add(lingerTime))
+	fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status))
+	c.CloseWrite()
+	io.Copy(io.Discard, io.LimitReader(c.Conn, mostLinger)) // an error is the end of it
+}
+
 // CloseWrite lets the server end an answer in good order before it closes.
 func (c *clientConn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/gateway/clientconn_test.go
+++ b/internal/gateway/clientconn_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"testing"
 	"time"
 )
@@ -41,7 +42,7 @@
 func TestWaitEndsAsRequestComes(t *testing.T) {
 	for name, ends := range map[string]func(*clientConn){
 		"by the server's time-out": func(near *clientConn) { near.SetReadDeadline(time.Unix(1, 0)) },
-		"by a stop":                func(near *clientConn) { near.table.leave() },
+		"by a stop":                func(near *clientConn) { near.table.leave(time.Now().Add(patience)) },
 		"to make room": func(near *clientConn) {
 			near.table.mu.Lock()
 			defer near.table.mu.Unlock()
@@ -64,13 +65,40 @@
 	}
 }
 
+// A request of which a part has been read is refused, and not just closed, where there is no room for it.
+func TestHalfRequestMakesRoom(t *testing.T) {
+	near, far := newClientConn(t)
+	send(t, near, far, "GET /lookup")
+	buffer := make([]byte, 64)
+	if n, err := near.Read(buffer); n == 0 || err != nil {
+		t.Fatal(n, err)
+	}
+	near.table.mu.Lock()
+	evicted := near.table.evict(near)
+	near.table.mu.Unlock()
+	ended := make(chan error, 1)
+	go func() {
+		_, err := near.Read(buffer)
+		near.Close()
+		ended <- err
+	}()
+	far.SetDeadline(time.Now().Add(patience))
+	answer, err := io.ReadAll(far)
+	if !evicted || err != nil || !strings.HasPrefix(string(answer), "HTTP/1.1 503 ") {
+		t.Errorf("evicted %t; the client got %q, %v", evicted, answer, err)
+	}
+	if err := wait(t, ended, "end"); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the server got %v", err)
+	}
+}
+
 // A deadline that the server sets while a connection is to end doesn't undo the end, and the end is not taken for a
 // request.
 func TestEndOutlastsServersDeadline(t *testing.T) {
 	near, _ := newClientConn(t)
 	near.table.state(near, http.StateActive)
 	near.table.state(near, http.StateIdle)
-	near.table.leave()
+	near.table.leave(time.Now().Add(patience))
 	near.SetReadDeadline(time.Now().Add(patience))
 	if n, err := near.Read(make([]byte, 16)); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Errorf("%d bytes, %v", n, err)
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -31,6 +31,7 @@
 	idle    list.List // of *clientConn without an open request, the longest idle first
 	ending  int       // idle ones whose end is on its way
 	leaving bool      // connections end once they are idle
+	cutoff  time.Time // of a stop: a request that isn't whole by then is refused; zero: none
 }
 
 func newClients(l net.Listener, most int) *clients {
@@ -188,8 +189,27 @@
 }
 
 // leave ends the connections that are idle, now and as they become so. New ones
-// are left, since a request is about to come on them.
-func (c *clients) leave() { c.endIdle(func(q *clientConn) bool { return !q.fresh }) }
+// are left, since a request is about to come on them. Requests that are not whole
+// by cutoff are refused.
+func (c *clients) leave(cutoff time.Time) {
+	c.mu.Lock()
+	c.cutoff = cutoff
+	for q := range c.conns {
+		q.applyDeadline()
+	}
+	c.mu.Unlock()
+	c.endIdle(func(q *clientConn) bool { return !q.fresh })
+}
+
+// refusal is the status for a request of which the rest is not waited for.
+func (c *clients) refusal(q *clientConn) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if q.ending || !c.cutoff.IsZero() && !time.Now().Before(c.cutoff) {
+		return http.StatusServiceUnavailable // the gateway has no place or no time for it: trying again is harmless
+	}
+	return http.StatusRequestTimeout
+}
 
 // endNew ends the connections on which no request has begun.
 func (c *clients) endNew() { c.endIdle(func(*clientConn) bool { return true }) }
--- a/internal/gateway/clients_test.go
+++ b/internal/gateway/clients_test.go
@@ -42,7 +42,7 @@
 	return ok && e.Timeout()
 }
 
-// What never becomes a whole request is owed an error or a close in time, and a
+// What never becomes a whole request gets an error in time, and a
 // request that waits for its answer is not cut off for it.
 func TestHalfRequests(t *testing.T) {
 	t.Parallel()
@@ -57,8 +57,9 @@
 		defer c.Close()
 		io.WriteString(c, text)
 		c.SetReadDeadline(time.Now().Add(patience))
-		if _, err := io.ReadAll(c); isTimeout(err) {
-			t.Errorf("after %d bytes the connection stays", len(text))
+		answer, err := io.ReadAll(c)
+		if err != nil || !strings.HasPrefix(string(answer), "HTTP/1.1 408 ") {
+			t.Errorf("after %d bytes: %q, %v", len(text), answer, err)
 		}
 	}
 	io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n") // later than the time-out for reading
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -202,6 +203,9 @@
 		x.body, err = readBody(http.MaxBytesReader(w, r.Body, mostBody), r.ContentLength)
 		if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
 			return nil, http.StatusRequestEntityTooLarge, errTooLong
+		} else if errors.Is(err, os.ErrDeadlineExceeded) {
+			conn := r.Context().Value(connKey{}).(*clientConn)
+			return nil, conn.table.refusal(conn), fmt.Errorf("body: %w", err)
 		} else if err != nil {
 			return nil, http.StatusBadRequest, fmt.Errorf("body: %w", err)
 		}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,6 +21,7 @@
 	requestsTaken                 // handed to the decisions
 	requestsServed                // answered with what a backend made
 	requestsInvalid               // answered 4xx: they could not be read
+	requestsUnfinished            // answered 408 or 503: the rest of their head did not come in time
 	requestsConflicting           // answered 409: their id is in use
 	requestsOverOpenLimit         // answered 503: as many as allowed are open
 	requestsWhileStopping         // answered 503: they came too late in a stop
@@ -34,7 +35,7 @@
 	connectionsAccepted: "connections.accepted", connectionsWithoutRoom: "connections.no_room",
 	connectionsEvicted: "connections.evicted", connectionsFlooded: "connections.flooded",
 	requestsTaken: "requests.taken", requestsServed: "requests.served", requestsInvalid: "requests.invalid",
-	requestsConflicting: "requests.conflict", requestsOverOpenLimit: "requests.over_open_limit",
+	requestsUnfinished: "requests.unfinished", requestsConflicting: "requests.conflict", requestsOverOpenLimit: "requests.over_open_limit",
 	requestsWhileStopping: "requests.while_stopping", clientsLeft: "requests.client_left",
 	attemptsRepeated: "attempts.repeated", listsReceived: "discovery.lists",
 }
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -22,7 +22,7 @@
 // stopSchedule is the timetable of a graceful stop: spans since it was asked for. Each is computed from the earliest
 // SIGKILL backwards, so that a request taken at the last moment, with the longest deadline, has its answer before.
 type stopSchedule struct {
-	admit  time.Duration // requests are taken up to then; later ones get 503
+	admit  time.Duration // requests that are whole by then are taken; others get 503
 	listen time.Duration // connections are accepted up to then
 	answer time.Duration // by then the decisions have given every request its final answer
 	kill   time.Duration // SIGKILL may come from then on
@@ -52,7 +52,7 @@
 	step("asked for")
 	g.front.leaving.Store(true)
 	loop.post(stopping{by: loop.clock.now() + time.Until(asked.Add(schedule.answer)).Seconds()})
-	g.clients.leave()
+	g.clients.leave(asked.Add(schedule.admit))
 	time.Sleep(time.Until(asked.Add(schedule.admit)))
 	g.front.closed.Store(true)
 	step("no more requests are taken")
