Show that a stop resets connections in the listener's queue, failing

Twenty connections with a request each wait in the kernel's queue, as the gateway is held up, when a stop closes its listener: all but the first are reset.

--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -535,6 +535,42 @@
 	}
 }
 
+// SetDeadline bounds the wait for a connection.
+func (g *gated) SetDeadline(at time.Time) error { return g.Listener.(*net.TCPListener).SetDeadline(at) }
+
+// Connections that still wait in the kernel's queue when the listener is to close, since the gateway was held up, are
+// accepted, and their requests get a refusal. A close of the listener would reset them.
+func TestStopEmptiesTheAcceptQueue(t *testing.T) {
+	t.Parallel()
+	var shut atomic.Bool
+	gate, waiting := make(chan struct{}), make(chan struct{}, 1)
+	way := &gated{accepted: func() {
+		if shut.CompareAndSwap(true, false) {
+			waiting <- struct{}{}
+			<-gate
+		}
+	}}
+	r := newRigBehind(t, func(l net.Listener) net.Listener { way.Listener = l; return way }, unchanged, newPeer(t))
+	shut.Store(true)
+	var all []<-chan *http.Response
+	for range 20 {
+		_, answers := r.client(t, ask("GET", "glance", ""))
+		all = append(all, answers)
+	}
+	wait(t, waiting, "connection")
+	r.stop()
+	time.Sleep(newStopSchedule(20*time.Second).listen + 50*time.Millisecond) // the moment that is to be crossed
+	close(gate)
+	for _, answers := range all {
+		if resp := wait(t, answers, "answer"); resp.StatusCode != http.StatusServiceUnavailable || !resp.Close {
+			t.Errorf("status %d, connection closed %t", resp.StatusCode, resp.Close)
+		}
+	}
+	if err := wait(t, r.ended, "end"); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
+
 // closedListener waits until clients are taken no longer.
 func (r *rig) closedListener(t *testing.T) {
 	t.Helper()
