Accept what waits in the listener's queue before a stop closes it

Cause: shutdown closed the listener at its moment, whatever waited in the kernel's queue. A gateway that is held up as the front still brings connections resets them, requests that its machine had taken among them.

Change: a stop wakes Accept by a deadline in the past; Accept itself takes what waits, gets three empty looks of 5 ms in a row, and closes the listener, after 0.1 s at most where new ones keep coming. The stop waits for that.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -2,9 +2,11 @@
 
 import (
 	"container/list"
+	"errors"
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -26,6 +28,8 @@
 	metrics *metrics
 	freed   chan struct{} // a connection has ended
 
+	lastFrom time.Time // Accept's own: since when it empties the queue; zero: it doesn't
+
 	mu      sync.Mutex
 	conns   map[*clientConn]struct{}
 	idle    list.List // of *clientConn without an open request, the longest idle first
@@ -43,6 +47,9 @@
 func (c *clients) Accept() (net.Conn, error) {
 	for {
 		conn, err := c.Listener.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			conn, err = c.acceptLast()
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -64,6 +71,41 @@
 	}
 }
 
+// stopAccepting ends Accept, once the connections that wait in the kernel's queue have been accepted, and closes the
+// listener. To close it at once would reset them.
+func (c *clients) stopAccepting() {
+	if l, ok := c.Listener.(deadlineListener); ok {
+		l.SetDeadline(time.Unix(1, 0)) // wakes Accept
+		return
+	}
+	c.Close()
+}
+
+// deadlineListener is a listener whose wait can be bounded, such as TCP's.
+type deadlineListener interface{ SetDeadline(time.Time) error }
+
+const (
+	lastAccepts   = 3                      // looks for connections in the queue, in a row, that find none
+	lastAccept    = 5 * time.Millisecond   // each
+	mostAccepting = 100 * time.Millisecond // for the queue, where new ones keep coming
+)
+
+// acceptLast returns a connection that waits in the queue, or closes the listener if there is none. Accept alone calls it.
+func (c *clients) acceptLast() (net.Conn, error) {
+	if c.lastFrom.IsZero() {
+		c.lastFrom = time.Now()
+	}
+	for n := 0; n < lastAccepts && time.Since(c.lastFrom) < mostAccepting; n++ {
+		c.Listener.(deadlineListener).SetDeadline(time.Now().Add(lastAccept))
+		conn, err := c.Listener.Accept()
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return conn, err
+		}
+	}
+	c.Close()
+	return nil, net.ErrClosed
+}
+
 // take enters a new connection, if there is room for it. Once the soft bound is passed, it ends those that have been
 // idle for long enough, two for each newcomer; their room is there when their servers have closed them.
 func (c *clients) take(conn net.Conn) *clientConn {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,7 +51,8 @@
 	front   *frontend
 	clients *clients
 	server  *http.Server
-	calls   *counter // nil where the deployment has none
+	served  chan error // the end of the server's accepting
+	calls   *counter   // nil where the deployment has none
 
 	inner     context.Context // of all parts but those of the clients; it ends after them
 	parts     sync.WaitGroup
@@ -94,15 +95,15 @@
 	g.clients.metrics = &loop.metrics
 	g.server = g.front.server(g.clients, c.longestDeadline()+seconds(c.AnswerSlack))
 	g.server.ErrorLog = slog.NewLogLogger(g.log.Handler(), slog.LevelWarn)
-	failed := make(chan error, 1)
-	g.parts.Go(func() { failed <- g.server.Serve(g.clients) })
+	g.served = make(chan error, 1)
+	g.parts.Go(func() { g.served <- g.server.Serve(g.clients) })
 	g.log.Info("started", "listen", listener.Addr().String(), "discovery", c.Discovery, "counter", c.Counter,
 		"known_backends", len(c.Known.Instances), "most_clients", most)
 	asked := make(chan time.Time, 1)
 	defer context.AfterFunc(ctx, func() { asked <- time.Now() })() // a reload may be under way
 	for {
 		select {
-		case err := <-failed:
+		case err := <-g.served:
 			return fmt.Errorf("clients: %w", err)
 		case at := <-asked:
 			return g.shutdown(at)
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -57,7 +57,12 @@
 	g.front.closed.Store(true)
 	step("no more requests are taken")
 	time.Sleep(time.Until(asked.Add(schedule.listen)))
-	g.clients.Close()
+	g.clients.stopAccepting()
+	select {
+	case <-g.served:
+	case <-time.After(time.Until(asked.Add(schedule.answer))):
+		g.clients.Close()
+	}
 	step("no more connections are taken")
 	ended := g.clients.ended(time.Until(asked.Add(schedule.end)))
 	if !ended {
