Add a seeded soak of restarts on real gateways, with clients that go on until the kill

Clients and backends keep records with one monotonic clock; a checker joins them and tells the whole story of each request that was lost, run twice, sent with too much time or after its client had left.

--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -39,7 +39,8 @@
 		common
 		Over string `required:"" placeholder:"KEY=V1,V2,..." help:"What takes which values, such as backends=42,200,2000."`
 	} `cmd:"" help:"Run an experiment at several values of one key, and fit a slope to each figure."`
-	Hollow struct{} `cmd:"" hidden:"" help:"Run the job of hollow gateways on standard input."`
+	Soak   soakArguments `cmd:"" help:"Play seeded trouble on real gateways, and check what became of every request."`
+	Hollow struct{}      `cmd:"" hidden:"" help:"Run the job of hollow gateways on standard input."`
 }
 
 type common struct {
@@ -78,6 +79,8 @@
 	switch command.Command() {
 	case "hollow":
 		err = runHollow(ctx, in, out)
+	case "soak":
+		status, err = runSoak(ctx, a.Soak, out, errs)
 	case "sweep <file>":
 		status, err = measure(ctx, a.Sweep.common, a.Sweep.Over, out, errs)
 	default:
--- a/internal/lab/soak/client.go
+++ b/internal/lab/soak/client.go
@@ -39,6 +39,7 @@
 	Patience  time.Duration
 	Ended     time.Duration
 	Left      bool  // the client closed the connection
+	Refused   bool  // the connection never reached the gateway
 	Status    int   // of the whole answer; 0: there is none
 	Began     bool  // some of an answer came
 	Err       error // why there is no whole answer
@@ -54,6 +55,7 @@
 	clock   Clock
 	gateway int
 	life    int
+	proxy   *Proxy // on the way; nil: none
 }
 
 // Dial connects a client to an address.
@@ -65,11 +67,24 @@
 	return &Conn{Conn: conn, r: bufio.NewReader(conn), clock: clock, gateway: gateway, life: life}, nil
 }
 
+// endLook is how long a client looks whether its resting connection has ended.
+const endLook = 100 * time.Microsecond
+
+// Ended tells whether the gateway has ended a resting connection, as far as its client can know.
+func (c *Conn) Ended() bool {
+	c.SetReadDeadline(time.Now().Add(endLook))
+	_, err := c.r.Peek(1)
+	return !isTimeout(err)
+}
+
 // Do sends a request and waits for its answer, until the latest moment at which one would count. reuse tells whether
 // another request may follow on the connection.
 func (c *Conn) Do(q Request) (s Sending, reuse bool) {
 	s = Sending{ID: q.ID, Class: q.Class, Gateway: c.gateway, Life: c.life, First: c.clock.Now(), Patience: q.Patience}
-	defer func() { s.Ended = c.clock.Now() }()
+	defer func() {
+		s.Ended = c.clock.Now()
+		s.Refused = c.proxy != nil && c.proxy.Refused(c.LocalAddr())
+	}()
 	wait := q.Patience + lateLimit + lateMargin
 	if s.Err = c.write(q); s.Err != nil {
 		wait = lateMargin // the gateway may have answered and closed before the request was whole
--- /dev/null
+++ b/internal/lab/soak/proxy.go
@@ -0,0 +1,188 @@
+package soak
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+)
+
+// Trouble is what a proxy does to the bytes that pass it. The zero value passes them on as they come.
+type Trouble struct {
+	MostDelay  time.Duration // each piece is held for up to this
+	SplitShare float64       // of the pieces that are passed on in two
+	ResetShare float64       // of the connections that are reset at a random moment of their use
+	MostUse    time.Duration // up to when after its start such a connection is reset
+}
+
+const proxyBuffer = 16 << 10
+
+// Proxy passes the bytes of connections on to another address, with some trouble. Its methods may be called from many
+// goroutines.
+type Proxy struct {
+	target   string
+	trouble  Trouble
+	listener net.Listener
+	passing  sync.WaitGroup
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	conns   map[net.Conn]struct{}
+	refused map[string]bool // addresses of clients for whom the target was not to be reached
+	closed  bool
+}
+
+// StartProxy starts a proxy on a port of loopback that the system chooses.
+func StartProxy(target string, trouble Trouble, seed uint64) (*Proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{target: target, trouble: trouble, listener: l, rng: rand.New(rand.NewPCG(seed, 1)),
+		conns: map[net.Conn]struct{}{}, refused: map[string]bool{}}
+	p.passing.Go(p.accept)
+	return p, nil
+}
+
+// Address is where the proxy listens.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// Refused tells whether the connection of a client from this address never reached the target.
+func (p *Proxy) Refused(client net.Addr) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refused[client.String()]
+}
+
+// Close ends all connections and waits for their goroutines.
+func (p *Proxy) Close() {
+	p.listener.Close()
+	p.mu.Lock()
+	p.closed = true
+	for conn := range p.conns {
+		conn.Close()
+	}
+	p.mu.Unlock()
+	p.passing.Wait()
+}
+
+func (p *Proxy) accept() {
+	for {
+		near, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		p.passing.Go(func() { p.pass(near.(*net.TCPConn)) })
+	}
+}
+
+// pass carries one connection until both of its directions have ended.
+func (p *Proxy) pass(near *net.TCPConn) {
+	conn, err := net.DialTimeout("tcp", p.target, dialLimit)
+	if err != nil {
+		p.mu.Lock()
+		p.refused[near.RemoteAddr().String()] = true
+		p.mu.Unlock()
+		near.Close()
+		return
+	}
+	far := conn.(*net.TCPConn)
+	if !p.enter(near, far) {
+		return
+	}
+	defer p.leave(near, far)
+	if p.chance(p.trouble.ResetShare) {
+		reset := time.AfterFunc(p.span(p.trouble.MostUse), func() { abort(near, far) })
+		defer reset.Stop()
+	}
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(far, near) })
+	both.Go(func() { p.copy(near, far) })
+	both.Wait()
+}
+
+// copy carries one direction, its end included.
+func (p *Proxy) copy(to, from *net.TCPConn) {
+	buffer := make([]byte, proxyBuffer)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			if p.write(to, buffer[:n]) != nil {
+				from.Close() // the other end is gone: what still comes has nowhere to go
+				return
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			to.CloseWrite()
+			return
+		case err != nil:
+			abort(to, from)
+			return
+		}
+	}
+}
+
+// write passes a piece on, late or in two.
+func (p *Proxy) write(to net.Conn, piece []byte) error {
+	if p.trouble.MostDelay > 0 {
+		time.Sleep(p.span(p.trouble.MostDelay))
+	}
+	if len(piece) > 1 && p.chance(p.trouble.SplitShare) {
+		half := 1 + int(p.span(time.Duration(len(piece)-1)))
+		if _, err := to.Write(piece[:half]); err != nil {
+			return err
+		}
+		piece = piece[half:]
+		time.Sleep(p.span(p.trouble.MostDelay))
+	}
+	_, err := to.Write(piece)
+	return err
+}
+
+// abort resets both ends.
+func abort(conns ...*net.TCPConn) {
+	for _, conn := range conns {
+		conn.SetLinger(0)
+		conn.Close()
+	}
+}
+
+func (p *Proxy) enter(conns ...net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conn := range conns {
+		if p.closed {
+			conn.Close()
+		}
+		p.conns[conn] = struct{}{}
+	}
+	return !p.closed
+}
+
+func (p *Proxy) leave(conns ...net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conn := range conns {
+		conn.Close()
+		delete(p.conns, conn)
+	}
+}
+
+func (p *Proxy) chance(share float64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rng.Float64() < share
+}
+
+// span is a random time below most.
+func (p *Proxy) span(most time.Duration) time.Duration {
+	if most <= 0 {
+		return 0
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Duration(p.rng.Int64N(int64(most)))
+}
--- a/internal/lab/soak/setup.go
+++ b/internal/lab/soak/setup.go
@@ -11,7 +11,7 @@
 	planName  = "standard"
 	memoryMB  = 192                    // limit of a gateway
 	counted   = 3 * time.Second        // a longer deadline counts as this where a kill is due
-	killDelay = 700 * time.Millisecond // from SIGTERM and the longest deadline to the earliest SIGKILL
+	KillDelay = 700 * time.Millisecond // from SIGTERM and the longest deadline to the earliest SIGKILL
 )
 
 // Class is one class of requests in a gateway's settings.
@@ -73,5 +73,5 @@
 	for _, c := range classes {
 		longest = max(longest, c.Deadline)
 	}
-	return min(longest, counted) + killDelay
+	return min(longest, counted) + KillDelay
 }
