Count the time that a request waits to be accepted, so that a backend is told what is left

Cause: frontend.read counted a request's time from its read; one that waited behind a newcomer without room had spent up to 0.25 s by then. Change: the acceptor keeps a bound of how long a connection can have been in the kernel's queue: the time that it spent outside of Accept since that had last to wait (queuewait.go). Where bytes are there as a connection is taken, its first request's time begins that much earlier.

--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -37,6 +37,10 @@
 	phase atomic.Int32 // changed under table.mu
 	ahead []byte       // what came behind a request that is open; its one reader's own
 
+	// waited is how long its first request may have waited before the connection was taken; 0 for those after it. The
+	// server reads it in order: it is set before the connection is served.
+	waited time.Duration
+
 	// request is the one that is open, for the log; nil: none.
 	request atomic.Pointer[exchange]
 
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -28,7 +28,9 @@
 	metrics *metrics
 	freed   chan struct{} // a connection has ended
 
-	lastFrom time.Time // Accept's own: since when it empties the queue; zero: it doesn't
+	// Accept's own:
+	lastFrom time.Time // since when it empties the queue before a stop closes it; zero: it doesn't
+	queue    queueWait
 
 	mu      sync.Mutex
 	conns   map[*clientConn]struct{}
@@ -46,6 +48,7 @@
 // could be made soon is closed.
 func (c *clients) Accept() (net.Conn, error) {
 	for {
+		c.queue.asked(time.Now())
 		conn, err := c.Listener.Accept()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			conn, err = c.acceptLast()
@@ -53,9 +56,11 @@
 		if err != nil {
 			return nil, err
 		}
+		arrived := c.queue.accepted(time.Now())
 		for left := leastGrace; ; left -= roomLook {
 			if taken := c.take(conn); taken != nil {
 				c.metrics.add(connectionsAccepted)
+				taken.waited = waitedUnread(conn, arrived)
 				return taken, nil
 			}
 			if left <= 0 {
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -212,6 +212,9 @@
 		io.Copy(io.Discard, r.Body) // to its end: only then does the server watch for a client that leaves
 		now = f.loop.clock.now()    // a request's time counts from its last byte
 	}
+	if conn, ok := r.Context().Value(connKey{}).(*clientConn); ok {
+		now -= conn.takeWaited().Seconds()
+	}
 	// Danger: the time-out for reading the request would end the watch.
 	http.NewResponseController(w).SetReadDeadline(time.Time{})
 	x.ask.Sent = now
--- a/internal/gateway/queued_test.go
+++ b/internal/gateway/queued_test.go
@@ -55,7 +55,7 @@
 		return conn.(*clientConn)
 	}
 	told := func(conn *clientConn) time.Duration {
-		return f.request(t, conn).Sub(time.Now())
+		return time.Until(f.request(t, conn))
 	}
 	q.conns <- dial()
 	first := accept()
