--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -24,7 +24,8 @@
 // the kernel: it sees each read before and after it happens.
 type gated struct {
 	net.Listener
-	accepted      func() // before the gateway has the connection
+	accepted      func()       // before the gateway has the connection
+	refuses       func() error // fails an accept, unless it returns nil
 	before, after func(*gatedConn)
 	deadline      func(*gatedConn, time.Time) // before a deadline for reading is set
 	conns         sync.Map                    // *gatedConn by the client's address
@@ -41,6 +42,11 @@
 }
 
 func (g *gated) Accept() (net.Conn, error) {
+	if g.refuses != nil {
+		if err := g.refuses(); err != nil {
+			return nil, err
+		}
+	}
 	c, err := g.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -571,6 +577,54 @@
 	}
 }
 
+// An accept that fails, for a moment or for a while, ends nothing: what is open is answered, and new connections are
+// accepted soon after.
+func TestFailingAcceptEndsNothing(t *testing.T) {
+	t.Parallel()
+	for _, errno := range []syscall.Errno{syscall.ECONNABORTED, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
+		syscall.EPROTO, syscall.EPERM, syscall.ENETUNREACH, syscall.EHOSTUNREACH, syscall.ENETDOWN, syscall.EINTR, syscall.ETIMEDOUT} {
+		t.Run(errno.Error(), func(t *testing.T) {
+			t.Parallel()
+			backend := newPeer(t)
+			var failures atomic.Int64
+			way := &gated{refuses: func() error {
+				if failures.Add(-1) >= 0 {
+					return &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", errno)}
+				}
+				return nil
+			}}
+			r := newRigBehind(t, func(l net.Listener) net.Listener { way.Listener = l; return way }, unchanged, backend)
+			_, held := r.client(t, ask("POST", "payment", "held"))
+			conn, br := backend.accept(t)
+			readRequest(t, br)
+			serve := func() { // on a connection of its own
+				conn, br := backend.accept(t)
+				readRequest(t, br)
+				io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+			}
+			failures.Store(12) // the accept that is under way comes first
+			_, first := r.client(t, ask("GET", "lookup", ""))
+			serve()
+			if resp := wait(t, first, "answer"); resp.StatusCode != http.StatusOK {
+				t.Errorf("status %d", resp.StatusCode)
+			}
+			began := time.Now()
+			_, second := r.client(t, ask("GET", "lookup", ""))
+			serve()
+			if resp := wait(t, second, "answer"); resp.StatusCode != http.StatusOK {
+				t.Errorf("status %d after the failures", resp.StatusCode)
+			}
+			if took := time.Since(began); took > time.Second {
+				t.Errorf("accepted %v after 12 failures", took)
+			}
+			total(conn, http.StatusOK, "paid")
+			if resp := wait(t, held, "answer"); resp.StatusCode != http.StatusOK {
+				t.Errorf("the held request: status %d", resp.StatusCode)
+			}
+		})
+	}
+}
+
 // closedListener waits until clients are taken no longer.
 func (r *rig) closedListener(t *testing.T) {
 	t.Helper()
--- a/internal/lab/real/gateway.go
+++ b/internal/lab/real/gateway.go
@@ -52,21 +52,26 @@
 	process *proc.Process
 }
 
-// Start starts a gateway, which ends when ctx does. Stop must be called in any case.
-func Start(ctx context.Context, p Program, o Options) (*Gateway, error) {
-	address, err := o.Listen, error(nil)
-	if address == "" {
-		address, err = FreeAddress()
-	}
-	if err != nil {
-		return nil, err
-	}
+// Config is the gateway's configuration file.
+func (o Options) Config() ([]byte, error) {
 	if o.Sockets == 0 {
 		o.Sockets = sockets
 	}
-	text, err := json.Marshal(map[string]any{"name": o.Name, "listen": address, "discovery": o.Discovery,
+	return json.Marshal(map[string]any{"name": o.Name, "listen": o.Listen, "discovery": o.Discovery,
 		"counter": o.Counter, "seed": fmt.Sprintf("%016x", o.Seed), "settings": o.Settings,
 		"limits": map[string]any{"cores": o.Cores, "memory_mb": o.MemoryMB, "sockets": o.Sockets}})
+}
+
+// Start starts a gateway, which ends when ctx does. Stop must be called in any case.
+func Start(ctx context.Context, p Program, o Options) (*Gateway, error) {
+	if o.Listen == "" {
+		address, err := FreeAddress()
+		if err != nil {
+			return nil, err
+		}
+		o.Listen = address
+	}
+	text, err := o.Config()
 	if err != nil {
 		return nil, err
 	}
@@ -74,7 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Gateway{Address: address, began: time.Now(), config: filepath.Join(dir, "config.json")}
+	g := &Gateway{Address: o.Listen, began: time.Now(), config: filepath.Join(dir, "config.json")}
 	if err = os.WriteFile(g.config, text, 0o600); err == nil {
 		g.process, err = proc.Start(ctx, "/bin/sh", append([]string{"EDGE_CONFIG=" + g.config}, o.Env...), nil,
 			"-c", `cd "$0" && `+p.Command, p.Dir)
