Go on accepting clients when an accept fails, with pauses of 50 ms at most

Cause, the class 'an error taken for final': net/http's Serve returns at an accept error that is not temporary, serve passed that on, and the process ended with its requests open; at one that is temporary it pauses for up to a second. Change: the clients' listener goes on until it is closed, with pauses of 1 to 50 ms; one line in a series, and a count. The time in the queue is counted from the last return of Accept, also of one that failed.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -26,6 +26,7 @@
 	net.Listener
 	most    int
 	metrics *metrics
+	log     *slog.Logger
 	freed   chan struct{} // a connection has ended
 
 	// Accept's own:
@@ -41,18 +42,14 @@
 }
 
 func newClients(l net.Listener, most int) *clients {
-	return &clients{Listener: l, most: most, metrics: &metrics{}, freed: make(chan struct{}, 1), conns: map[*clientConn]struct{}{}}
+	return &clients{Listener: l, most: most, metrics: &metrics{}, log: slog.Default(), freed: make(chan struct{}, 1), conns: map[*clientConn]struct{}{}}
 }
 
 // Accept returns the next connection that there is room for. One for which none
-// could be made soon is closed.
+// could be made soon is closed. Its only error is net.ErrClosed.
 func (c *clients) Accept() (net.Conn, error) {
 	for {
-		c.queue.asked(time.Now())
-		conn, err := c.Listener.Accept()
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			conn, err = c.acceptLast()
-		}
+		conn, err := c.acceptNext()
 		if err != nil {
 			return nil, err
 		}
@@ -76,6 +73,34 @@
 	}
 }
 
+// The pauses between accepts that fail.
+const (
+	firstPause = time.Millisecond
+	mostPause  = 50 * time.Millisecond
+)
+
+// acceptNext returns the next connection of the kernel's queue. An accept fails for a while where the machine or the
+// process lacks something, and for one connection where that has ended in the queue; neither is an end of the
+// listener, and a gateway that took it for one would end under its open requests. So it goes on until the listener
+// is closed, with short pauses.
+func (c *clients) acceptNext() (net.Conn, error) {
+	for pause := firstPause; ; pause = min(2*pause, mostPause) {
+		c.queue.asked(time.Now())
+		conn, err := c.Listener.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			conn, err = c.acceptLast()
+		}
+		if err == nil || errors.Is(err, net.ErrClosed) {
+			return conn, err
+		}
+		c.queue.failed(time.Now())
+		if c.metrics.add(acceptsFailed); pause == firstPause {
+			c.log.Warn("a connection can't be accepted", "error", err)
+		}
+		time.Sleep(pause)
+	}
+}
+
 // stopAccepting ends Accept, once the connections that wait in the kernel's queue have been accepted, and closes the
 // listener. To close it at once would reset them.
 func (c *clients) stopAccepting() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,7 +92,7 @@
 	defer known.Stop()
 
 	g.clients = newClients(listener, most)
-	g.clients.metrics = &loop.metrics
+	g.clients.metrics, g.clients.log = &loop.metrics, g.log
 	g.server = g.front.server(g.clients, c.longestDeadline()+seconds(c.AnswerSlack))
 	g.server.ErrorLog = slog.NewLogLogger(g.log.Handler(), slog.LevelWarn)
 	g.served = make(chan error, 1)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,6 +15,7 @@
 // The counts that are not split by a reason or an outcome.
 const (
 	connectionsAccepted    metric = iota
+	acceptsFailed                 // accepts that returned an error
 	connectionsWithoutRoom        // closed unread: no room could be made
 	connectionsEvicted            // idle ones that were ended to make room
 	connectionsFlooded            // ended, since too much came behind an open request
@@ -32,7 +33,7 @@
 )
 
 var metricNames = [metricCount]string{
-	connectionsAccepted: "connections.accepted", connectionsWithoutRoom: "connections.no_room",
+	connectionsAccepted: "connections.accepted", acceptsFailed: "accepts.failed", connectionsWithoutRoom: "connections.no_room",
 	connectionsEvicted: "connections.evicted", connectionsFlooded: "connections.flooded",
 	requestsTaken: "requests.taken", requestsServed: "requests.served", requestsInvalid: "requests.invalid",
 	requestsUnfinished: "requests.unfinished", requestsConflicting: "requests.conflict", requestsOverOpenLimit: "requests.over_open_limit",
--- a/internal/gateway/queuewait.go
+++ b/internal/gateway/queuewait.go
@@ -26,6 +26,9 @@
 	q.called = now
 }
 
+// failed notes that Accept has returned no connection, whatever the queue holds.
+func (q *queueWait) failed(now time.Time) { q.returned = now }
+
 // accepted notes that Accept has returned a connection, and returns the earliest moment at which that can have come.
 func (q *queueWait) accepted(now time.Time) (earliest time.Time) {
 	if now.Sub(q.called) >= queueEmpty {
