Let no log line end a gateway or hold it up

Cause: lines went to standard error from the goroutine that had them. Closed, that raises SIGPIPE, which ends the process with its open requests; full, the loop or a stop waits in the write.

--- a/cmd/elderyard/main.go
+++ b/cmd/elderyard/main.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"math"
 	"os"
@@ -13,7 +14,9 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
+	"linnetbend/internal/asynclog"
 	"linnetbend/internal/gateway"
 )
 
@@ -22,18 +25,27 @@
 	heapGrow  = 400 // percent between collections: the heap is small beside the limit
 )
 
+// lastLines is how long the end waits for the log to be taken.
+const lastLines = 100 * time.Millisecond
+
 func main() {
+	signal.Ignore(syscall.SIGPIPE) // a log that is closed ends nothing
+	log := asynclog.New(os.Stderr)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	hup := make(chan os.Signal, 1) // one that waits stands for all: the file is read whole
 	signal.Notify(hup, syscall.SIGHUP)
-	if err := run(ctx, hup); err != nil {
-		fmt.Fprintln(os.Stderr, "elderyard:", err)
+	err := run(ctx, hup, log)
+	if err != nil {
+		fmt.Fprintln(log, "elderyard:", err)
+	}
+	log.Flush(lastLines)
+	if err != nil {
 		os.Exit(1)
 	}
 }
 
-func run(ctx context.Context, hup <-chan os.Signal) error {
+func run(ctx context.Context, hup <-chan os.Signal, log io.Writer) error {
 	path := os.Getenv("EDGE_CONFIG")
 	if path == "" {
 		return fmt.Errorf("EDGE_CONFIG is not set")
@@ -45,7 +57,7 @@
 	runtime.GOMAXPROCS(int(math.Ceil(c.Cores)))
 	debug.SetMemoryLimit(int64(float64(c.MemoryMB<<20) * heapShare))
 	debug.SetGCPercent(heapGrow)
-	c.Log = slog.New(slog.NewTextHandler(os.Stderr, nil)).With("gateway", c.Name)
+	c.Log = slog.New(slog.NewTextHandler(log, nil)).With("gateway", c.Name)
 	return gateway.Run(ctx, &c, gateway.Reload{Signal: hup,
 		Read: func() (gateway.Config, error) { return gateway.ReadConfig(path) }})
 }
