Show that a counter's call is given less time than the settings say, failing

The same class as the incident's cause, two times that have to agree and don't: a connection to the counter is given up when an answer is a second late (counterStuck), and the call on it ends as timed out, also where the settings' time-out is longer.

--- a/internal/gateway/counter_test.go
+++ b/internal/gateway/counter_test.go
@@ -123,6 +123,21 @@
 	}
 }
 
+// A counter that is given longer than a connection may stand still, by the settings, is given that long: its answer counts.
+func TestCounterHasItsWholeTime(t *testing.T) {
+	t.Parallel()
+	far := newPeer(t)
+	_, add, replies := startCounter(t, far.address())
+	add(1)
+	conn, r := far.accept(t)
+	readRequest(t, r)
+	time.Sleep(counterStuck + 200*time.Millisecond) // the moment that is to be crossed
+	total(conn, 200, "5")
+	if got := wait(t, replies, "reply"); got != (reply{1, rules.Served, 5}) {
+		t.Errorf("reply %v", got)
+	}
+}
+
 // An answer without an end holds up what was called behind it on its connection
 // and no more: the next call gets a connection of its own.
 func TestCounterStandsStill(t *testing.T) {
