Give up a counter's connection no sooner than the settings' time-out of a call

Change: an answer is waited for as long as a call may take, a second at least. The deployments at hand give a call 0.05 to 0.1 s, so nothing changes for them. internal/gateway passes with -race.

--- a/internal/gateway/counter.go
+++ b/internal/gateway/counter.go
@@ -23,7 +23,7 @@
 	laneConns       = 4                // connections of a lane at most, those that stand still among them
 	mostCalls       = 512              // calls that wait on one lane
 	counterIdle     = 5 * time.Second  // well below the 10 s after which the counter closes
-	counterStuck    = 1 * time.Second  // an answer so late is given up with its connection
+	counterStuck    = 1 * time.Second  // an answer so late is given up with its connection, unless calls have longer
 	counterIdleLook = 1 * time.Second  // between looks for idle lanes
 	mostTotal       = 64               // bytes of a total
 	mostKeep        = 60 * time.Second // the counter takes longer ones for this
@@ -155,6 +155,7 @@
 	waiting chan *call           // written, in order
 	open    *atomic.Int64        // connections of its lane
 	trust   *idleTrust           // the counter's
+	stuck   time.Duration        // an answer so late is given up
 	once    sync.Once
 }
 
@@ -166,7 +167,8 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := &counterConn{Conn: nc, host: address, waiting: make(chan *call, mostCalls), open: open, trust: &c.trust}
+	conn := &counterConn{Conn: nc, host: address, waiting: make(chan *call, mostCalls), open: open,
+		trust: &c.trust, stuck: max(counterStuck, c.timeout)}
 	open.Add(1)
 	c.readers.Go(func() {
 		defer open.Add(-1)
@@ -240,7 +242,7 @@
 		}
 		c.head.Store(k)
 		left.N = mostCounterHead
-		c.SetReadDeadline(time.Now().Add(counterStuck))
+		c.SetReadDeadline(time.Now().Add(c.stuck))
 		outcome, total, err := rules.Errored, 0.0, error(nil)
 		if _, err = r.Peek(1); err != nil {
 			outcome = broken(err)
