Split the decisions into files of one subject each, with plain names

rules.go held 650 lines of five subjects. Now: rules.go (events, timers, maintenance), admission.go, placement.go, attempts.go, health.go, slowstart.go and membership.go beside quota.go and stop.go, all named under policy. Functions were moved whole; house, lay, press, blame, pace, age and makeRoom have names that say what they do.

--- a/rules/state.go
+++ b/rules/state.go
@@ -40,9 +40,9 @@
 	repeats           float64 // share of tries that are a client's further ones
 	warmRate          float64 // own sends a second to a warm backend
 	warmSent          int
-	lastHouse         float64
+	lastMaintained    float64
 	patience          []patience
-	arrivals, arrived []float64 // by level: a second, and since lastHouse
+	arrivals, arrived []float64 // by level: a second, and since lastMaintained
 }
 
 // job is one request from its arrival until its last attempt has ended.
@@ -185,8 +185,8 @@
 	share                   int // of the places, this gateway's own
 }
 
-// makeRoom allocates what the levels and the settings call for.
-func (g *Gateway) makeRoom(seed uint64) {
+// allocate allocates what the levels and the settings call for.
+func (g *Gateway) allocate(seed uint64) {
 	g.rng = rand.New(rand.NewPCG(seed, seed>>1))
 	g.jobs = map[RequestID]*job{}
 	g.servers = map[BackendID]*server{}
--- a/rules/types.go
+++ b/rules/types.go
@@ -3,7 +3,7 @@
 //
 // This file is the whole interface: settings go in once, events go in one at a
 // time, actions come out. Times are seconds on the clock of the caller. The
-// decisions are in rules.go and quota.go.
+// decisions are in rules.go and the files that it names.
 package rules
 
 // RequestID names one try of a client at one gateway.
@@ -204,7 +204,7 @@
 // Event is one thing that happened to this gateway.
 type Event interface{ event() }
 
-// Backends is news from discovery.
+// Backends is what discovery told.
 type Backends struct {
 	Kind    ListKind
 	Entries []Backend
