Let the soak drain backends, silence discovery, and kill gateways with no warning

One plan of two has drains (a backend drains, leaves the list and comes back, answering all the while), one of three a silence of discovery of 1 to 3 s, one stop of eight is SIGKILL alone. An attempt that begins at a backend later than its drain was told and the grace is a fault; a change counts as told 0.3 s after it, or 6 s after discovery could be reached where it was silent.

--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -16,6 +16,7 @@
 	Duplicate Rule = "duplicate"  // a request of class Once ran twice, or two attempts were out at once
 	Overtime  Rule = "overtime"   // a backend was told more time than the client had left
 	AfterLeft Rule = "after left" // an attempt began after the client had left
+	Drained   Rule = "drained"    // an attempt began at a backend whose drain had been told long before
 	Crash     Rule = "crash"      // a process ended in another way than it was told to
 	NotReady  Rule = "not ready"  // a process took too long to be ready
 )
@@ -25,6 +26,9 @@
 	leftLimit = 100 * time.Millisecond // attempts may begin so long after the client's close
 	toldSlack = 150 * time.Millisecond // over what the client has left
 	readyMost = 10 * time.Second
+	grace     = 2 * time.Second        // the settings' for drains
+	toldAfter = 300 * time.Millisecond // a watch has told a change by then
+	toldMost  = 6 * time.Second        // or by then, after a silence of discovery
 	bothOut   = 150 * time.Millisecond // two attempts count as out at once from here: the end of one is seen late
 	killSlack = 50 * time.Millisecond  // between a kill and what its connections show
 )
@@ -53,6 +57,35 @@
 	Sendings []Sending
 	Attempts []Attempt
 	Lives    []Life
+	Changes  []Change
+	Outages  []Outage
+}
+
+// Change is one of the list of backends.
+type Change struct {
+	Backend string
+	At      time.Duration
+	Ready   bool // else it drains, or is gone
+}
+
+// told is when the last change of a backend before a moment counts as told, if that took it out of service.
+func (h *History) told(backend string, moment time.Duration) (at time.Duration, out bool) {
+	for _, c := range h.Changes {
+		if c.Backend != backend || c.At > moment {
+			continue
+		}
+		if !c.Ready && out {
+			continue // it was out already
+		}
+		at, out = c.At+toldAfter, !c.Ready
+		for _, o := range h.Outages {
+			// A watch that fell silent then is opened anew only after a while.
+			if c.At > o.From-toldAfter && c.At < o.To+toldMost {
+				at = max(c.At, o.To) + toldMost
+			}
+		}
+	}
+	return at, out
 }
 
 // Fault is a broken rule with what is known of it.
@@ -200,6 +233,9 @@
 		if s.Left && a.First > s.Ended+leftLimit+lateMargin {
 			c.fault(AfterLeft, s, "an attempt began %.3f s after the client had left", (a.First - s.Ended).Seconds())
 		}
+		if told, out := c.history.told(a.Backend, a.First); out && a.First > told+grace+lateMargin {
+			c.fault(Drained, s, "an attempt began %.3f s after the drain of %s was told", (a.First - told).Seconds(), a.Backend)
+		}
 		if left := s.Due() - a.First; s.Sent > 0 && a.Told > left+toldSlack+lateMargin {
 			c.fault(Overtime, s, "a backend was told %.3f s when %.3f were left", a.Told.Seconds(), left.Seconds())
 		}
--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -22,12 +22,15 @@
 	served.Status = 200
 	ended := sending
 	ended.Err = io.EOF
+	later := func(s *Sending) { s.First, s.Sent, s.Ended = 9*time.Second, 9*time.Second, 9050*ms }
 	for name, c := range map[string]struct {
 		rule     Rule // "": none
 		change   func(*Sending)
 		sending  Sending
 		attempts []Attempt
 		life     Life
+		changes  []Change
+		outages  []Outage
 	}{
 		"served":                    {sending: served, attempts: []Attempt{took(110*ms, 140*ms, 900*ms)}},
 		"ended after an attempt":    {rule: Lost, sending: ended, attempts: []Attempt{took(110*ms, 150*ms, 900*ms)}},
@@ -51,15 +54,26 @@
 		"too much time":  {rule: Overtime, sending: served, attempts: []Attempt{took(110*ms, 140*ms, 1300*ms)}},
 		"begun too late": {rule: AfterLeft, sending: sending, change: func(s *Sending) { s.Left = true }, attempts: []Attempt{took(400*ms, 500*ms, 500*ms)}},
 		"gone":           {sending: sending, change: func(s *Sending) { s.Left = true }, attempts: []Attempt{took(200*ms, 500*ms, 500*ms)}},
-		"ended badly":    {rule: Crash, sending: served, life: Life{Err: errors.New("exit status 1")}},
-		"slow to start":  {rule: NotReady, sending: served, life: Life{Ready: 11 * time.Second}},
-		"never started":  {rule: NotReady, sending: served, life: Life{neverStarted: true}},
+		"drained long ago": {rule: Drained, sending: served, change: later, attempts: []Attempt{took(9*time.Second, 9*time.Second, 900*ms)},
+			changes: []Change{{Backend: "b", At: time.Second}, {Backend: "b", At: 8 * time.Second}}},
+		"drained just now": {sending: served, change: later, attempts: []Attempt{took(9*time.Second, 9*time.Second, 900*ms)},
+			changes: []Change{{Backend: "b", At: 7 * time.Second}}},
+		"drained, and back": {sending: served, change: later, attempts: []Attempt{took(9*time.Second, 9*time.Second, 900*ms)},
+			changes: []Change{{Backend: "b", At: time.Second}, {Backend: "b", At: 2 * time.Second, Ready: true}}},
+		"drained unseen": {sending: served, change: later, attempts: []Attempt{took(9*time.Second, 9*time.Second, 900*ms)},
+			changes: []Change{{Backend: "b", At: time.Second}}, outages: []Outage{{0, 2 * time.Second}}},
+		"killed with no warning": {sending: ended, attempts: []Attempt{took(110*ms, 150*ms, 900*ms)},
+			life: Life{Killed: 150 * ms, abrupt: true}},
+		"ended badly":   {rule: Crash, sending: served, life: Life{Err: errors.New("exit status 1")}},
+		"slow to start": {rule: NotReady, sending: served, life: Life{Ready: 11 * time.Second}},
+		"never started": {rule: NotReady, sending: served, life: Life{neverStarted: true}},
 	} {
 		if c.change != nil {
 			c.change(&c.sending)
 		}
 		c.life.Gateway, c.life.Number = 1, 1
-		v := Check(History{Sendings: []Sending{c.sending}, Attempts: c.attempts, Lives: []Life{c.life}})
+		v := Check(History{Sendings: []Sending{c.sending}, Attempts: c.attempts, Lives: []Life{c.life}, Changes: c.changes,
+			Outages: c.outages})
 		switch {
 		case c.rule == "" && len(v.Faults) > 0, c.rule != "" && len(v.Faults) != 1:
 			t.Errorf("%s: %v", name, v.Faults)
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -20,8 +20,19 @@
 	Clients  Trouble // between clients and gateways
 	Backing  Trouble // between gateways and backends
 	Stops    []Stop
+	Drains   []Drain
+	Outages  []Outage // of discovery
 }
 
+// Drain takes a backend out of service and brings it back. It goes on answering all the while.
+type Drain struct {
+	Backend          int
+	At, Gone, BackAt time.Duration // it drains, leaves the list, and is ready again
+}
+
+// Outage is a time in which discovery is silent: connections to it come up, and nothing passes on them, then or later.
+type Outage struct{ From, To time.Duration }
+
 // Stop is one restart of a gateway: signals in series, SIGKILL at the earliest moment if the process hasn't ended, and
 // a start soon after its end.
 type Stop struct {
@@ -30,6 +41,7 @@
 	Signals []PlannedSignal
 	Front   time.Duration // new connections come so long after SIGTERM
 	Rest    time.Duration // from the end of the process to the next start
+	Abrupt  bool          // it is SIGKILL alone, with no SIGTERM before
 }
 
 // PlannedSignal is one more signal of a stop. Two of them hold the process up.
@@ -49,6 +61,7 @@
 	stallLongest = 150 * time.Millisecond  // a process is held up so long at most
 	frontLeast   = 200 * time.Millisecond  // new connections come for this after SIGTERM at least
 	frontMost    = 400 * time.Millisecond
+	outageMost   = 3 * time.Second
 	crowdSockets = 192 // descriptors of a gateway with a crowd
 	usualSockets = 1024
 )
@@ -78,6 +91,11 @@
 		p.Backing = Trouble{MostDelay: time.Duration(rng.Int64N(int64(5 * time.Millisecond))), SplitShare: 0.3 * rng.Float64(),
 			ResetShare: 0.2 * rng.Float64(), MostUse: 5 * time.Second}
 	}
+	p.Drains = newDrains(rng, p.Backends, length)
+	if rng.IntN(3) == 0 && length > 4*outageMost {
+		from := span(rng, firstStop, length-2*outageMost)
+		p.Outages = append(p.Outages, Outage{From: from, To: from + span(rng, time.Second, outageMost)})
+	}
 	between := KillAfter(p.Classes) + time.Second // the next gateway's stop may begin before the last one's end
 	for at, n := firstStop, 0; at < length-KillAfter(p.Classes)-lastStop; n++ {
 		p.Stops = append(p.Stops, newStop(rng, n%p.Gateways, at))
@@ -86,10 +104,31 @@
 	return p
 }
 
+// newDrains draws which backends drain and when, most of them never, and no two at a time.
+func newDrains(rng *rand.Rand, backends int, length time.Duration) (all []Drain) {
+	if rng.IntN(2) == 0 {
+		return nil
+	}
+	for at := firstStop; ; {
+		d := Drain{Backend: rng.IntN(backends), At: at + span(rng, 0, time.Second)}
+		d.Gone = d.At + span(rng, time.Second, 4*time.Second)
+		d.BackAt = d.Gone + span(rng, 0, time.Second)
+		if d.BackAt > length-lastStop {
+			return all
+		}
+		all = append(all, d)
+		at = d.BackAt
+	}
+}
+
 // newStop draws the signals of a stop.
 func newStop(rng *rand.Rand, gateway int, at time.Duration) Stop {
 	s := Stop{Gateway: gateway, At: at, Rest: span(rng, 100*time.Millisecond, 400*time.Millisecond),
 		Front: span(rng, frontLeast, frontMost)}
+	if rng.IntN(8) == 0 {
+		s.Abrupt = true
+		return s
+	}
 	add := func(after time.Duration, signal syscall.Signal) {
 		s.Signals = append(s.Signals, PlannedSignal{After: after, Signal: signal})
 	}
--- a/internal/lab/soak/proxy.go
+++ b/internal/lab/soak/proxy.go
@@ -31,6 +31,8 @@
 	rng     *rand.Rand
 	conns   map[net.Conn]struct{}
 	refused map[string]bool // addresses of clients for whom the target was not to be reached
+	silent  bool            // nothing passes
+	silence chan struct{}   // closed as the next silence begins
 	closed  bool
 }
 
@@ -41,7 +43,7 @@
 		return nil, err
 	}
 	p := &Proxy{target: target, trouble: trouble, listener: l, rng: rand.New(rand.NewPCG(seed, 1)),
-		conns: map[net.Conn]struct{}{}, refused: map[string]bool{}}
+		conns: map[net.Conn]struct{}{}, refused: map[string]bool{}, silence: make(chan struct{})}
 	p.passing.Go(p.accept)
 	return p, nil
 }
@@ -56,6 +58,30 @@
 	return p.refused[client.String()]
 }
 
+// Silence keeps all from passing, or ends that. What passed through a connection that has been silent is lost: it stays
+// silent until one of its ends closes it.
+func (p *Proxy) Silence(silent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if silent && !p.silent {
+		close(p.silence)
+		p.silence = make(chan struct{})
+	}
+	p.silent = silent
+}
+
+// heard returns a channel that is closed once a connection that begins now has fallen silent.
+func (p *Proxy) heard() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.silent {
+		over := make(chan struct{})
+		close(over)
+		return over
+	}
+	return p.silence
+}
+
 // Close ends all connections and waits for their goroutines.
 func (p *Proxy) Close() {
 	p.listener.Close()
@@ -97,17 +123,27 @@
 		reset := time.AfterFunc(p.span(p.trouble.MostUse), func() { abort(near, far) })
 		defer reset.Stop()
 	}
+	silent := p.heard()
 	var both sync.WaitGroup
-	both.Go(func() { p.copy(far, near) })
-	both.Go(func() { p.copy(near, far) })
+	both.Go(func() { p.copy(far, near, silent) })
+	both.Go(func() { p.copy(near, far, silent) })
 	both.Wait()
 }
 
 // copy carries one direction, its end included.
-func (p *Proxy) copy(to, from *net.TCPConn) {
+func (p *Proxy) copy(to, from *net.TCPConn, silent <-chan struct{}) {
 	buffer := make([]byte, proxyBuffer)
 	for {
 		n, err := from.Read(buffer)
+		select {
+		case <-silent:
+			if err != nil {
+				abort(to, from)
+				return
+			}
+			continue
+		default:
+		}
 		if n > 0 {
 			if p.write(to, buffer[:n]) != nil {
 				from.Close() // the other end is gone: what still comes has nowhere to go
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -47,11 +47,13 @@
 	backing  []*Proxy // before the backends
 	nodes    []*node
 	registry *registry.Registry
-	found    string // where the registry listens
+	finding  *Proxy // before it
+	listed   []gateway.Instance
 
 	mu       sync.Mutex
 	sendings []Sending
 	lives    []Life
+	changes  []Change
 	requests int
 }
 
@@ -64,6 +66,7 @@
 	mu       sync.Mutex
 	life     int
 	admitted bool // the front brings new connections
+	abrupt   int  // the last life that was killed with no warning
 	process  *real.Gateway
 	record   Life
 }
@@ -88,12 +91,14 @@
 	for _, n := range r.nodes {
 		playing.Go(func() { r.restarts(ctx, n) })
 	}
+	playing.Go(func() { r.drain(ctx) })
+	playing.Go(func() { r.outages(ctx) })
 	playing.Wait()
 	result.Partial = !errors.Is(ctx.Err(), context.DeadlineExceeded)
 	r.endAll()
 	time.Sleep(lastWait)
 	result.Plan = plan
-	result.History = History{Sendings: r.sendings, Lives: r.lives}
+	result.History = History{Sendings: r.sendings, Lives: r.lives, Changes: r.changes, Outages: plan.Outages}
 	for _, b := range r.backends {
 		result.History.Attempts = append(result.History.Attempts, b.Attempts()...)
 	}
@@ -117,9 +122,13 @@
 		r.backing = append(r.backing, p)
 		list = append(list, gateway.Instance{ID: b.Name, HostPort: p.Address(), Zone: "a", MachineType: "m", Lifecycle: "Ready", Weight: 1})
 	}
-	r.registry = registry.New(list, registry.Options{})
-	var err error
-	if r.found, err = r.registry.Start(ctx); err != nil {
+	r.listed = list
+	r.registry = registry.New(slices.Clone(list), registry.Options{})
+	found, err := r.registry.Start(context.WithoutCancel(ctx))
+	if err != nil {
+		return err
+	}
+	if r.finding, err = StartProxy(found, Trouble{}, r.plan.Seed); err != nil {
 		return err
 	}
 	for i := range r.plan.Gateways {
@@ -127,7 +136,7 @@
 		if err != nil {
 			return err
 		}
-		n := &node{number: i, setup: Setup{Name: fmt.Sprintf("n%d", i), Listen: listen, Discovery: r.found, Sockets: r.plan.Sockets,
+		n := &node{number: i, setup: Setup{Name: fmt.Sprintf("n%d", i), Listen: listen, Discovery: r.finding.Address(), Sockets: r.plan.Sockets,
 			Classes: r.plan.Classes, Env: r.options.Env}}
 		if n.proxy, err = StartProxy(listen, r.plan.Clients, r.plan.Seed+uint64(1000+i)); err != nil {
 			return err
@@ -154,6 +163,9 @@
 	for _, b := range r.backends {
 		b.Close()
 	}
+	if r.finding != nil {
+		r.finding.Close()
+	}
 	if r.registry != nil {
 		r.registry.Close()
 	}
@@ -247,6 +259,10 @@
 		at     time.Duration
 		signal syscall.Signal
 	}
+	if s.Abrupt {
+		r.kill(n, s)
+		return
+	}
 	moments := []moment{{s.At, syscall.SIGTERM}}
 	for _, extra := range s.Signals {
 		moments = append(moments, moment{s.At + extra.After, extra.Signal})
@@ -277,6 +293,51 @@
 	r.ended(n)
 }
 
+// kill ends a process with no warning; the front notices only later.
+func (r *run) kill(n *node, s Stop) {
+	r.await(n, s.At)
+	n.mu.Lock()
+	n.abrupt = n.life
+	n.mu.Unlock()
+	n.record.abrupt, n.record.Killed = true, r.clock.Now()
+	n.process.Signal(syscall.SIGKILL)
+	time.Sleep(s.Front)
+	n.admit(false)
+	r.ended(n)
+}
+
+// drain plays the changes of the list.
+func (r *run) drain(ctx context.Context) {
+	for _, d := range r.plan.Drains {
+		for _, step := range []struct {
+			at        time.Duration
+			lifecycle string
+		}{{d.At, "Terminating"}, {d.Gone, "Gone"}, {d.BackAt, "Ready"}} {
+			if !sleepUntil(ctx, r.clock.At(step.at)) {
+				return
+			}
+			entry := r.listed[d.Backend]
+			entry.Lifecycle = step.lifecycle
+			r.registry.Change([]gateway.Instance{entry})
+			r.mu.Lock()
+			r.changes = append(r.changes, Change{Backend: entry.ID, At: r.clock.Now(), Ready: step.lifecycle == "Ready"})
+			r.mu.Unlock()
+		}
+	}
+}
+
+// outages plays the silences of discovery.
+func (r *run) outages(ctx context.Context) {
+	for _, o := range r.plan.Outages {
+		if !sleepUntil(ctx, r.clock.At(o.From)) {
+			return
+		}
+		r.finding.Silence(true)
+		sleepUntil(ctx, r.clock.At(o.To))
+		r.finding.Silence(false)
+	}
+}
+
 // await waits for a moment. It returns false if the process ends first.
 func (r *run) await(n *node, at time.Duration) bool {
 	select {
--- a/internal/lab/soak/work.go
+++ b/internal/lab/soak/work.go
@@ -60,7 +60,7 @@
 	q := r.request(rng)
 	s, reuse := conn.Do(q)
 	r.record(s)
-	if s.Status != 0 || s.Began || s.Left || s.Sent == 0 || isTimeout(s.Err) {
+	if s.Status != 0 || s.Began || s.Left || s.Sent == 0 || isTimeout(s.Err) || r.killed(conn) {
 		return reuse
 	}
 	second := r.connect(rng, conn.gateway)
@@ -78,6 +78,15 @@
 	return false
 }
 
+// killed tells whether the process behind a connection was killed with no warning: what it had taken may have run, and is
+// not sent again.
+func (r *run) killed(conn *Conn) bool {
+	n := r.nodes[conn.gateway]
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.abrupt == conn.life
+}
+
 func (r *run) record(s Sending) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
