--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -544,18 +544,24 @@
 // SetDeadline bounds the wait for a connection.
 func (g *gated) SetDeadline(at time.Time) error { return g.Listener.(*net.TCPListener).SetDeadline(at) }
 
+// holdAccept is a way on which the next accept, once shut is set, says so on waiting and is held until gate is closed.
+func holdAccept() (way *gated, shut *atomic.Bool, waiting <-chan struct{}, gate chan<- struct{}) {
+	shut = &atomic.Bool{}
+	held, closed := make(chan struct{}, 1), make(chan struct{})
+	way = &gated{accepted: func() {
+		if shut.CompareAndSwap(true, false) {
+			held <- struct{}{}
+			<-closed
+		}
+	}}
+	return way, shut, held, closed
+}
+
 // Connections that still wait in the kernel's queue when the listener is to close, since the gateway was held up, are
 // accepted, and their requests get a refusal. A close of the listener would reset them.
 func TestStopEmptiesTheAcceptQueue(t *testing.T) {
 	t.Parallel()
-	var shut atomic.Bool
-	gate, waiting := make(chan struct{}), make(chan struct{}, 1)
-	way := &gated{accepted: func() {
-		if shut.CompareAndSwap(true, false) {
-			waiting <- struct{}{}
-			<-gate
-		}
-	}}
+	way, shut, waiting, gate := holdAccept()
 	r := newRigBehind(t, func(l net.Listener) net.Listener { way.Listener = l; return way }, unchanged, newPeer(t))
 	shut.Store(true)
 	var all []<-chan *http.Response
@@ -645,14 +651,7 @@
 func TestStopCrossesAccept(t *testing.T) {
 	t.Parallel()
 	backend := newPeer(t)
-	var shut atomic.Bool
-	gate, waiting := make(chan struct{}), make(chan struct{}, 1)
-	way := &gated{accepted: func() {
-		if shut.CompareAndSwap(true, false) {
-			waiting <- struct{}{}
-			<-gate
-		}
-	}}
+	way, shut, waiting, gate := holdAccept()
 	r := newRigBehind(t, func(l net.Listener) net.Listener { way.Listener = l; return way }, unchanged, backend)
 	shut.Store(true)
 	_, answers := r.client(t, ask("GET", "glance", "")) // its backend says nothing
--- a/internal/lab/soak/backend.go
+++ b/internal/lab/soak/backend.go
@@ -36,10 +36,10 @@
 	listener net.Listener
 	serving  sync.WaitGroup
 
+	conns connSet
+
 	mu       sync.Mutex
 	attempts []*Attempt
-	conns    map[net.Conn]struct{}
-	closed   bool
 }
 
 // StartBackend starts a backend on a port of loopback that the system chooses. behavior is asked once for each request;
@@ -49,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &Backend{Name: name, clock: clock, behavior: behavior, listener: l, conns: map[net.Conn]struct{}{}}
+	b := &Backend{Name: name, clock: clock, behavior: behavior, listener: l}
 	b.serving.Go(b.accept)
 	return b, nil
 }
@@ -60,12 +60,7 @@
 // Close ends all connections and waits for their goroutines.
 func (b *Backend) Close() {
 	b.listener.Close()
-	b.mu.Lock()
-	b.closed = true
-	for conn := range b.conns {
-		conn.Close()
-	}
-	b.mu.Unlock()
+	b.conns.close()
 	b.serving.Wait()
 }
 
@@ -86,19 +81,11 @@
 		if err != nil {
 			return
 		}
-		b.mu.Lock()
-		if b.closed {
-			conn.Close()
+		if !b.conns.add(conn) {
+			return
 		}
-		b.conns[conn] = struct{}{}
-		b.mu.Unlock()
 		b.serving.Go(func() {
-			defer func() {
-				conn.Close()
-				b.mu.Lock()
-				delete(b.conns, conn)
-				b.mu.Unlock()
-			}()
+			defer b.conns.remove(conn)
 			r := bufio.NewReader(conn)
 			for b.serveOne(conn, r) {
 			}
--- a/internal/lab/soak/proxy.go
+++ b/internal/lab/soak/proxy.go
@@ -27,13 +27,13 @@
 	listener net.Listener
 	passing  sync.WaitGroup
 
+	conns connSet
+
 	mu      sync.Mutex
 	rng     *rand.Rand
-	conns   map[net.Conn]struct{}
 	refused map[string]bool // addresses of clients for whom the target was not to be reached
 	silent  bool            // nothing passes
 	silence chan struct{}   // closed as the next silence begins
-	closed  bool
 }
 
 // StartProxy starts a proxy on a port of loopback that the system chooses.
@@ -43,7 +43,7 @@
 		return nil, err
 	}
 	p := &Proxy{target: target, trouble: trouble, listener: l, rng: rand.New(rand.NewPCG(seed, 1)),
-		conns: map[net.Conn]struct{}{}, refused: map[string]bool{}, silence: make(chan struct{})}
+		refused: map[string]bool{}, silence: make(chan struct{})}
 	p.passing.Go(p.accept)
 	return p, nil
 }
@@ -85,12 +85,7 @@
 // Close ends all connections and waits for their goroutines.
 func (p *Proxy) Close() {
 	p.listener.Close()
-	p.mu.Lock()
-	p.closed = true
-	for conn := range p.conns {
-		conn.Close()
-	}
-	p.mu.Unlock()
+	p.conns.close()
 	p.passing.Wait()
 }
 
@@ -115,10 +110,10 @@
 		return
 	}
 	far := conn.(*net.TCPConn)
-	if !p.enter(near, far) {
+	if !p.conns.add(near, far) {
 		return
 	}
-	defer p.leave(near, far)
+	defer p.conns.remove(near, far)
 	if p.chance(p.trouble.ResetShare) {
 		reset := time.AfterFunc(p.span(p.trouble.MostUse), func() { abort(near, far) })
 		defer reset.Stop()
@@ -186,27 +181,6 @@
 	}
 }
 
-func (p *Proxy) enter(conns ...net.Conn) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, conn := range conns {
-		if p.closed {
-			conn.Close()
-		}
-		p.conns[conn] = struct{}{}
-	}
-	return !p.closed
-}
-
-func (p *Proxy) leave(conns ...net.Conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, conn := range conns {
-		conn.Close()
-		delete(p.conns, conn)
-	}
-}
-
 func (p *Proxy) chance(share float64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
