Use the field's words: races, streams of counter calls, and plain sentences for invariants

Tests of races are in race_test.go and say 'races'; lanes of the counter are streams, the roster is a list of customers; comments say what would break in plain sentences without a 'Danger:' before them.

--- a/cmd/elderyard/limit_test.go
+++ b/cmd/elderyard/limit_test.go
@@ -39,7 +39,7 @@
 	}))
 	defer discovery.Close()
 	counter := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		<-quick // lanes leave connections that stand still for new ones
+		<-quick // streams leave connections that stand still for new ones
 		io.WriteString(w, r.URL.Query().Get("add"))
 	}))
 	defer counter.Close()
@@ -116,7 +116,7 @@
 	for range 6 {
 		fill()
 		var wg sync.WaitGroup
-		for range 24 { // of as many customers, on all lanes of the counter
+		for range 24 { // of as many customers, on all streams of the counter
 			wg.Go(func() { ask(request()) })
 		}
 		answered := make(chan struct{})
--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -127,7 +127,7 @@
 }
 
 // alive looks, without waiting, whether an idle connection still stands and has
-// nothing to say. Danger: what is written to one that the other side has closed
+// nothing to say. What is written to one that the other side has closed
 // ends as a reset, which is no proof that it had no effect.
 func alive(conn net.Conn) bool {
 	_, err := peek(conn)
@@ -241,7 +241,7 @@
 	t.idle = nil
 }
 
-// forget takes a closed connection off the books.
+// forget takes a closed connection out of the table.
 func (p *pools) forget(c *backendConn) {
 	if _, here := c.home.conns[c]; here {
 		delete(c.home.conns, c)
@@ -335,7 +335,7 @@
 	for n := len(t.idle) - 1; n >= 0; n-- {
 		c := t.idle[n]
 		age := time.Since(c.idle)
-		// Danger: more than belonged to the last answer may be on its way, and would be read as the next.
+		// More than belonged to the last answer may be on its way, and would be read as the next.
 		if age < settleTime {
 			continue // where there is no room for a new one, it makes room itself
 		}
@@ -485,7 +485,7 @@
 
 var errTooLong = errors.New("the body is too long")
 
-// readBody reads a whole body, of known length or not. Danger: a length is a
+// readBody reads a whole body, of known length or not. A length is a
 // claim; memory for a long one is taken only as the bytes come.
 func readBody(r io.Reader, length int64) ([]byte, error) {
 	if length > mostBody {
--- a/internal/gateway/counter.go
+++ b/internal/gateway/counter.go
@@ -19,12 +19,12 @@
 )
 
 const (
-	lanes           = 8                // streams of calls to the counter, each on a connection of its own
-	laneConns       = 4                // connections of a lane at most, those that stand still among them
-	mostCalls       = 512              // calls that wait on one lane
+	streams         = 8                // streams of calls to the counter, each on a connection of its own
+	streamConns     = 4                // connections of a stream at most, those that stand still among them
+	mostCalls       = 512              // calls that wait on one stream
 	counterIdle     = 5 * time.Second  // well below the 10 s after which the counter closes
 	counterStuck    = 1 * time.Second  // an answer so late is given up with its connection, unless calls have longer
-	counterIdleLook = 1 * time.Second  // between looks for idle lanes
+	counterIdleLook = 1 * time.Second  // between looks for idle streams
 	mostTotal       = 64               // bytes of a total
 	mostKeep        = 60 * time.Second // the counter takes longer ones for this
 	leastKeep       = time.Millisecond
@@ -52,21 +52,21 @@
 }
 
 // counter makes calls over a few pipelined connections. The calls for one name
-// keep to one lane, so they go out in order; a lane leaves a connection that
+// keep to one stream, so they go out in order; a stream leaves a connection that
 // stands still for a new one. The counter holds 32 connections of a gateway.
 type counter struct {
 	address atomic.Pointer[string]
 	timeout time.Duration
 	trust   idleTrust
-	lanes   [lanes]chan *call
+	streams [streams]chan *call
 	readers sync.WaitGroup // one for each connection
 }
 
 func newCounter(address string, timeout time.Duration) *counter {
 	c := &counter{timeout: timeout}
 	c.move(address)
-	for i := range c.lanes {
-		c.lanes[i] = make(chan *call, mostCalls)
+	for i := range c.streams {
+		c.streams[i] = make(chan *call, mostCalls)
 	}
 	return c
 }
@@ -78,25 +78,25 @@
 // add hands a call over without waiting. It returns false where too many wait.
 func (c *counter) add(k *call) bool {
 	select {
-	case c.lanes[k.name%lanes] <- k:
+	case c.streams[k.name%streams] <- k:
 		return true
 	default:
 		return false
 	}
 }
 
-// run keeps the lanes until ctx ends.
+// run keeps the streams until ctx ends.
 func (c *counter) run(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, calls := range c.lanes {
-		wg.Go(func() { c.lane(ctx, calls) })
+	for _, calls := range c.streams {
+		wg.Go(func() { c.stream(ctx, calls) })
 	}
 	wg.Wait()
 	c.readers.Wait()
 }
 
-// lane writes the calls of one channel.
-func (c *counter) lane(ctx context.Context, calls <-chan *call) {
+// stream writes the calls of one channel.
+func (c *counter) stream(ctx context.Context, calls <-chan *call) {
 	var conn *counterConn
 	var open atomic.Int64
 	defer func() {
@@ -153,7 +153,7 @@
 	out     atomic.Int64         // calls without an answer
 	head    atomic.Pointer[call] // whose answer comes next
 	waiting chan *call           // written, in order
-	open    *atomic.Int64        // connections of its lane
+	open    *atomic.Int64        // connections of its stream
 	trust   *idleTrust           // the counter's
 	stuck   time.Duration        // an answer so late is given up
 	once    sync.Once
@@ -178,7 +178,7 @@
 }
 
 // retire takes no more calls; the connection ends with its reader, once what is
-// out has been answered or given up. Only the lane's writer calls it, so nothing
+// out has been answered or given up. Only the stream's writer calls it, so nothing
 // joins waiting afterwards.
 func (c *counterConn) retire() { c.once.Do(func() { close(c.waiting) }) }
 
@@ -195,8 +195,8 @@
 		(c.out.Load() > 0 || rest < c.trust.limit(time.Now()) && alive(c.Conn))
 }
 
-// stands tells whether the lane should leave a connection, since the call whose
-// answer is due has been given up and another connection may be had. Danger: an
+// stands tells whether the stream should leave a connection, since the call whose
+// answer is due has been given up and another connection may be had. An
 // answer that never ends holds up all answers behind it, and so calls that the
 // counter has served would time out, for many customers, as if it were crowded.
 // This covers a lost or silent connection as well. It could hurt with a counter
@@ -204,7 +204,7 @@
 // an answer that comes late is still read where it comes.
 func (c *counterConn) stands() bool {
 	k := c.head.Load()
-	return k != nil && k.givenUp.Load() && c.open.Load() < laneConns
+	return k != nil && k.givenUp.Load() && c.open.Load() < streamConns
 }
 
 // call writes one call. Its answer is read only once it stands in the line;
@@ -265,7 +265,7 @@
 
 var errNoTotal = errors.New("no total")
 
-// readTotal reads the answer to a call. Danger: an answer that can't be read
+// readTotal reads the answer to a call. An answer that can't be read
 // says that the amount was added and no more. After it, and where a body has no
 // end of its own, the connection can't be trusted with the next call's.
 func readTotal(r *bufio.Reader, asked *http.Request) (rules.Outcome, float64, error) {
@@ -297,7 +297,7 @@
 }
 
 // delimited tells whether the end of a body is told by a length or by chunks.
-// Danger: one that ends with its connection looks whole when it was cut.
+// One that ends with its connection looks whole when it was cut.
 func delimited(resp *http.Response) bool {
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
--- a/internal/gateway/counter_test.go
+++ b/internal/gateway/counter_test.go
@@ -31,7 +31,7 @@
 		k := &call{name: 7, amount: amount, keep: time.Minute}
 		k.report = func(k *call, o rules.Outcome, total float64) { replies <- reply{k.amount, o, total} }
 		if !c.add(k) {
-			t.Fatal("the lane is full")
+			t.Fatal("the stream is full")
 		}
 		return k
 	}, replies
@@ -168,7 +168,7 @@
 	far := newPeer(t)
 	c := newCounter(far.address(), patience)
 	var open atomic.Int64
-	open.Store(laneConns - 1) // stand still already
+	open.Store(streamConns - 1) // stand still already
 	conn, err := c.dial(context.Background(), &open)
 	if err != nil {
 		t.Fatal(err)
@@ -187,7 +187,7 @@
 	open.Add(1)
 	conn.Close()
 	c.readers.Wait()
-	if n := open.Load(); n != laneConns-1 {
+	if n := open.Load(); n != streamConns-1 {
 		t.Errorf("%d connections count as open after one has ended", n)
 	}
 }
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -67,7 +67,7 @@
 	case i.ID == "" || !known:
 		return rules.Backend{}, fmt.Errorf("instance %q: lifecycle %q is not known", i.ID, i.Lifecycle)
 	case zone < 0 && state != rules.Gone:
-		// Danger: two unknown zones must not pass for one that drops repeats.
+		// Two unknown zones must not pass for one that drops repeats.
 		return rules.Backend{}, fmt.Errorf("instance %q: zone %q is not known", i.ID, i.Zone)
 	case math.IsNaN(i.Weight) || i.StartedAtMs < 0:
 		return rules.Backend{}, fmt.Errorf("instance %q: impossible weight or start", i.ID)
@@ -90,7 +90,7 @@
 }
 
 // newWatcher makes a watch for a gateway that may go on sending to a draining
-// backend for so long. Danger: a watch that has fallen silent, or that discovery
+// backend for so long. A watch that has fallen silent, or that discovery
 // forgot while it was down, misses drains that count as told. So each call is
 // over, and the next on its way, well within that time. inUse tells that requests
 // are sent by an older list meanwhile.
@@ -131,7 +131,7 @@
 }
 
 // listLimit is the time for the whole list. Each call that was too short makes the
-// next one longer: a list that is always cut off would never be had. Danger: while
+// next one longer: a list that is always cut off would never be had. While
 // requests are sent by an older list, no call may outlast a watch.
 func (w *watcher) listLimit() time.Duration {
 	most := w.wait + w.answer
@@ -179,7 +179,7 @@
 	}
 	if l.Reset && l.Instances == nil {
 		w.listed = false
-		return l, errors.New("list: no instances in it") // Danger: taken for an empty one, it would end all service
+		return l, errors.New("list: no instances in it") // Taken for an empty one, it would end all service
 	}
 	return l, nil
 }
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -39,7 +39,7 @@
 	customers = 1 << 33 // ids are below it
 )
 
-// once are the headers that may stand but once. Danger: of two, the backend
+// once are the headers that may stand but once. Of two, the backend
 // might go by another than the decisions did.
 var once = []string{idHeader, classHeader, planHeader, clientHeader, leftHeader, keyHeader, termsHeader, repeatHeader}
 
@@ -112,21 +112,21 @@
 	x, status, err := f.read(w, r)
 	if err != nil {
 		f.loop.metrics.add(requestsInvalid)
-		// Danger: what follows a request that was not understood may be a part of it.
+		// What follows a request that was not understood may be a part of it.
 		w.Header().Set("Connection", "close")
 		http.Error(w, err.Error(), status)
 		return
 	}
 	conn := r.Context().Value(connKey{}).(*clientConn)
 	if ended(conn.Conn) {
-		// Danger: its connection may have waited long to be accepted, and the server's watch for a client that
+		// Its connection may have waited long to be accepted, and the server's watch for a client that
 		// leaves has only just begun.
 		f.leave(w)
 		return
 	}
 	if f.closed.Load() {
 		f.loop.metrics.add(requestsWhileStopping)
-		// Danger: what is taken so late may still be out when the gateway is killed.
+		// What is taken so late may still be out when the gateway is killed.
 		f.write(w, answer{status: http.StatusServiceUnavailable})
 		return
 	}
@@ -140,7 +140,7 @@
 	case a := <-x.reply:
 		f.write(w, a)
 	case <-r.Context().Done():
-		x.left.Store(true) // Danger: the loop may be behind by much, and what it has not read yet sends on
+		x.left.Store(true) // The loop may be behind by much, and what it has not read yet sends on
 		f.loop.post(clientGone{x})
 		f.leave(w)
 	case <-f.loop.stopped:
@@ -148,7 +148,7 @@
 	}
 }
 
-// leave ends the connection of a client that has left. Danger: one that has closed
+// leave ends the connection of a client that has left. One that has closed
 // its sending alone still reads, and a handler that says nothing answers 200, which
 // no backend has made.
 func (f *frontend) leave(w http.ResponseWriter) {
@@ -172,7 +172,7 @@
 		// Its framing is that of another time; net/http drops a Transfer-Encoding there unseen.
 		return nil, http.StatusHTTPVersionNotSupported, errors.New("HTTP/1.1 is wanted")
 	case len(r.TransferEncoding) > 0:
-		// Danger: beside it may have stood a Content-Length, which net/http drops unseen, and another
+		// Beside it may have stood a Content-Length, which net/http drops unseen, and another
 		// request in the body as counted by that. A length is asked for, as RFC 9110, 15.5.12 allows.
 		return nil, http.StatusLengthRequired, errors.New("a body needs a Content-Length")
 	}
@@ -215,10 +215,10 @@
 	if conn, ok := r.Context().Value(connKey{}).(*clientConn); ok {
 		now -= conn.takeWaited().Seconds()
 	}
-	// Danger: the time-out for reading the request would end the watch.
+	// The time-out for reading the request would end the watch.
 	http.NewResponseController(w).SetReadDeadline(time.Time{})
 	x.ask.Sent = now
-	// Danger: a client that claims hours would hold its request, and a stop, for as long as a backend hangs.
+	// A client that claims hours would hold its request, and a stop, for as long as a backend hangs.
 	x.ask.Deadline = min(x.ask.Deadline, class.Deadline) + now - answerMargin
 	x.header = passedOn(r.Header)
 	return x, 0, nil
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -175,7 +175,7 @@
 		x.reply <- answer{status: http.StatusServiceUnavailable} // nothing was sent for it
 		return
 	}
-	// Danger: an id names one request. A second one under it, from whatever client, could be answered by
+	// An id names one request. A second one under it, from whatever client, could be answered by
 	// what a backend made for the first.
 	// They are forgotten after a while, or when many come; those of requests that are open are not.
 	if _, open := l.open[x.id]; open || !l.ids.add(x.id, x.ask.Sent) {
@@ -202,7 +202,7 @@
 		b, err := i.backend(l.deploy)
 		if err != nil {
 			l.log.Warn("discovery: an entry can't be read", "error", err)
-			// Danger: what can't be read of a backend in use may be that it drains.
+			// What can't be read of a backend in use may be that it drains.
 			b = rules.Backend{ID: backendID(i.ID), State: rules.Draining}
 			if l.names[b.ID] != i.ID {
 				continue
@@ -314,7 +314,7 @@
 }
 
 // keepBack ends the attempts of a request whose client has left, as far as they
-// have not been sent. Danger: where a deployment lets no attempt be cancelled, one
+// have not been sent. Where a deployment lets no attempt be cancelled, one
 // that waits for its connection would be sent on for nobody.
 func (l *Loop) keepBack(x *exchange) {
 	for _, a := range x.attempts {
@@ -371,7 +371,7 @@
 	l.timers.add(timerEntry{at: k.sent + l.deploy.CounterTimeout, call: k})
 }
 
-// endCall takes a call's one end. Danger: the module takes the replies for one
+// endCall takes a call's one end. The module takes the replies for one
 // name in the order of the calls, but a call that is turned away here, or goes
 // out on a new connection, may end before an earlier one; it waits for that. What
 // becomes of a call that was given up is told all the same.
@@ -397,7 +397,7 @@
 }
 
 // giveUp ends a call whose time is over. An answer that has begun, and may never
-// end, says as much as one that can't be read: the amount was added. Danger: told
+// end, says as much as one that can't be read: the amount was added. Told
 // as silence, it would pass for a crowd, and what it added would be lost. A refusal
 // cut to pieces on its way passes for added too; what is taken back then is one call's.
 func (l *Loop) giveUp(k *call) {
--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/race_test.go
@@ -180,9 +180,9 @@
 	}
 }
 
-// crossing is a gateway with a connection on which a request has been read, but not
+// raced is a gateway with a connection on which a request has been read, but not
 // yet begun on, when something else happens to that connection.
-func crossing(t *testing.T, fresh bool, change func(string) string, backend *peer, happens func(*rig, *gatedConn)) (*rig, net.Conn) {
+func raced(t *testing.T, fresh bool, change func(string) string, backend *peer, happens func(*rig, *gatedConn)) (*rig, net.Conn) {
 	t.Helper()
 	var r *rig
 	var target atomic.Pointer[net.TCPAddr]
@@ -218,14 +218,14 @@
 // A request that the gateway has begun to read, but not yet begun on, when a stop
 // closes idle connections is answered: as ever on an idle one, and with a refusal on
 // a new one, which is closed later.
-func TestStopCrossesRequestThatIsRead(t *testing.T) {
+func TestStopRacesRequestThatIsRead(t *testing.T) {
 	t.Parallel()
 	for name, fresh := range map[string]bool{"on an idle connection": false, "on a new one": true} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			backend := newPeer(t)
 			crossed := make(chan struct{})
-			_, conn := crossing(t, fresh, unchanged, backend, func(r *rig, c *gatedConn) {
+			_, conn := raced(t, fresh, unchanged, backend, func(r *rig, c *gatedConn) {
 				c.armed.Store(true)
 				r.stop()
 				<-c.ended
@@ -253,11 +253,11 @@
 
 // A request that the gateway has read, but not yet begun on, when its connection is
 // to end to make room is served there, once.
-func TestMakeRoomCrossesRequestThatIsRead(t *testing.T) {
+func TestMakeRoomRacesRequestThatIsRead(t *testing.T) {
 	t.Parallel()
 	backend := newPeer(t)
 	silent := make(chan net.Conn, 100)
-	_, conn := crossing(t, false, strings.NewReplacer(`"sockets": 1024`, `"sockets": 128`).Replace, backend, func(r *rig, c *gatedConn) {
+	_, conn := raced(t, false, strings.NewReplacer(`"sockets": 1024`, `"sockets": 128`).Replace, backend, func(r *rig, c *gatedConn) {
 		c.armed.Store(true)
 		for range cap(silent) { // the bound is below 50
 			if conn, err := net.Dial("tcp", r.address); err == nil {
@@ -298,7 +298,7 @@
 // A request that has arrived when a stop comes, but that the gateway has not read
 // yet, is answered: on an idle connection as ever, on a new one at least with a
 // refusal, though the listener has gone.
-func TestStopCrossesRequestThatIsUnread(t *testing.T) {
+func TestStopRacesRequestThatIsUnread(t *testing.T) {
 	t.Parallel()
 	for name, idle := range map[string]bool{"on an idle connection": true, "on a new one": false} {
 		t.Run(name, func(t *testing.T) {
@@ -357,7 +357,7 @@
 
 // An idle connection whose server is about to wait for the next request as a stop comes is closed with the other idle
 // ones: at once, and not when the listener goes. Its client would go on using it meanwhile.
-func TestStopCrossesWaitForRequest(t *testing.T) {
+func TestStopRacesWaitForRequest(t *testing.T) {
 	t.Parallel()
 	backend := newPeer(t)
 	var r *rig
@@ -520,7 +520,7 @@
 
 // A drain ends the dials to its backend: what waits for one goes elsewhere, or is
 // refused, and nothing is sent when the connection comes up.
-func TestDrainCrossesDial(t *testing.T) {
+func TestDrainRacesDial(t *testing.T) {
 	t.Parallel()
 	backend, other := newCrowded(t), newPeer(t)
 	r := newRigWith(t, strings.NewReplacer(`"connectTimeoutS": 5`, `"connectTimeoutS": 15`).Replace)
@@ -648,7 +648,7 @@
 
 // A connection that waits to be accepted when a stop comes is still taken, and its
 // request answered: served, or refused where it is too late for that.
-func TestStopCrossesAccept(t *testing.T) {
+func TestStopRacesAccept(t *testing.T) {
 	t.Parallel()
 	backend := newPeer(t)
 	way, shut, waiting, gate := holdAccept()
@@ -728,7 +728,7 @@
 
 // What comes of an attempt after its time-out or cancel reaches nobody: the request
 // has its one answer.
-func TestAnswerCrossesTimeOut(t *testing.T) {
+func TestAnswerRacesTimeOut(t *testing.T) {
 	c, err := parseConfig([]byte(configText("127.0.0.1:1", testSettings)))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/lab/hollow/run.go
+++ b/internal/lab/hollow/run.go
@@ -51,7 +51,7 @@
 		groups[n] = h.newGroup(g)
 	}
 	begin := time.Now()
-	// Danger: a gateway that is stuck may never answer; its open requests fail when it is ended.
+	// A gateway that is stuck may never answer; its open requests fail when it is ended.
 	loaded, cancel := context.WithDeadline(inner, begin.Add(h.longest()))
 	defer cancel()
 	var driving sync.WaitGroup
--- a/internal/lab/proc/proc.go
+++ b/internal/lab/proc/proc.go
@@ -103,7 +103,7 @@
 	p.cmd.WaitDelay = pipesAfter
 	started := make(chan error)
 	go func() {
-		// Danger: the signal at the parent's death comes when the thread that started
+		// The signal at the parent's death comes when the thread that started
 		// the child ends, so that thread is kept until the child has ended.
 		runtime.LockOSThread()
 		defer runtime.UnlockOSThread()
--- a/rules/admission.go
+++ b/rules/admission.go
@@ -65,7 +65,7 @@
 
 // elapsed is the time that the client has surely spent on earlier tries. Most tries of a class and plan are
 // given the same patience; one that has another is cut to what is left of the client's whole patience.
-// Danger: a repeat whose aim has passed earns nothing, yet takes units, a call and a backend's time from
+// A repeat whose aim has passed earns nothing, yet takes units, a call and a backend's time from
 // requests that may still earn; a fresh try must not be taken for one, so an unknown patience says nothing.
 func (g *Gateway) elapsed(r Request, c *Class) float64 {
 	left, usual := r.Deadline-r.Sent, &g.patience[r.Class*len(g.set.Plans)+r.Plan]
--- a/rules/attempts.go
+++ b/rules/attempts.go
@@ -15,7 +15,7 @@
 // drains, whoever asks.
 func (g *Gateway) send(j *job, s *server) bool {
 	tries := len(j.attempts)
-	// Danger: what is sent within the window may wait for a connection and arrive after it.
+	// What is sent within the window may wait for a connection and arrive after it.
 	window := j.class.DedupeWindow - g.set.ConnectTimeout - 2*g.set.Tick
 	stale := j.mayRun && j.class.Effect == ByKey && g.now > j.mayAt+window
 	if j.done || j.streams || !j.paid || s.State != Ready || !j.inGroup(s) || stale ||
@@ -58,7 +58,7 @@
 	j.out--
 	c.open--
 	if e.Outcome == TimedOut || e.Outcome == Cancelled {
-		// Danger: a time-out or a cancel may stop no work. If given-up attempts left the count, each would
+		// A time-out or a cancel may stop no work. If given-up attempts left the count, each would
 		// make room for one more at a full backend. It stays the longer the more in a row the backend has
 		// let pass.
 		a.on.missed++
--- a/rules/health.go
+++ b/rules/health.go
@@ -59,7 +59,7 @@
 	s.latency += paceGain * (took - s.latency)
 }
 
-// fade lets what was learnt of a backend fade. Danger: one that is passed over for a single failure or a slow
+// fade lets what was learnt of a backend fade. One that is passed over for a single failure or a slow
 // answer gets nothing that could put that right, and the others bear its work for good. One that is left out
 // has its trials.
 func (s *server) fade(part, usual float64) {
--- a/rules/membership.go
+++ b/rules/membership.go
@@ -21,7 +21,7 @@
 		s := g.serverOf(b)
 		if fresh || b.Born > s.Born {
 			s.latency, s.fail = 0, 0 // a new process
-			// Danger: of many gateways, each may send a cold backend one request in many seconds. Were all to
+			// Of many gateways, each may send a cold backend one request in many seconds. Were all to
 			// save up for it from nothing, it would idle while it is needed most, and then get them all at once.
 			s.budget, s.budgetedAt = g.rng.Float64(), g.now
 		} else {
--- a/rules/placement.go
+++ b/rules/placement.go
@@ -35,7 +35,7 @@
 	}
 	switch {
 	case trial != nil:
-		// Danger: trials are all that can put right what is left out, so they come first, shared trouble or
+		// Trials are all that can put right what is left out, so they come first, shared trouble or
 		// not: else most stay left out for good once they are, and the few others bear all.
 		trial.trialGap = min(2*trial.trialGap, trialMost)
 		trial.trialAt = g.now + trial.trialGap
@@ -57,7 +57,7 @@
 		slow = min(max(s.latency/g.latency, 1/paceMost), paceMost)
 	}
 	well := 1 - min(s.fail, 0.9)
-	// Danger: a gateway among many has nothing in flight at most backends, so one that is cold would look
+	// A gateway among many has nothing in flight at most backends, so one that is cold would look
 	// worst for as long as it is. Its budget keeps its share small; what it may get, it gets at once.
 	cost := (1 + float64(higher) + 0.1*float64(s.inFlight)) * slow * g.warmth(s) / (well * well)
 	if s.Zone != g.set.Zone {
--- a/rules/quota.go
+++ b/rules/quota.go
@@ -86,7 +86,7 @@
 		} else {
 			t.allowance = min(p.Burst, p.CeilingBurst*ceilingLease)
 			if (p.CeilingBurst-(2+leaseShare)*t.allowance)/n < 1 {
-				// Danger: a share that never holds a unit pays for nothing, and is lost to the customer. So
+				// A share that never holds a unit pays for nothing, and is lost to the customer. So
 				// leases have what they can use of it.
 				t.allowance = min(p.Burst, p.CeilingBurst/(2+leaseShare))
 			}
@@ -100,7 +100,7 @@
 		t.window = t.allowance / max(t.rate, 1e-3)
 	}
 	if !t.few && t.places > 0 {
-		// Danger: places kept by many hands are two calls a request, and stray. What they let through on
+		// Places kept by many hands are two calls a request, and stray. What they let through on
 		// average is kept as a rate instead.
 		if t.places = 0; t.rate == 0 && g.latency > 0 {
 			t.rate = placeUse * float64(p.MaxConcurrent) / g.latency
@@ -116,11 +116,11 @@
 	if c == nil {
 		c = &customer{id: r.Customer, localAt: g.born, window: -1, seen: g.now}
 		g.customers[r.Customer] = c
-		g.roster = append(g.roster, c)
-		// Danger: a gateway that starts again may have spent its share in its last life. Under a ceiling
+		g.customerList = append(g.customerList, c)
+		// A gateway that starts again may have spent its share in its last life. Under a ceiling
 		// it earns the share anew; elsewhere a full store costs little.
 		if p := g.set.Plans[r.Plan]; p.CeilingRate <= 0 {
-			// Danger: of many gateways each has less than a unit. Were each to begin with one, a counter that
+			// Of many gateways each has less than a unit. Were each to begin with one, a counter that
 			// turns calls away for a moment would let in a unit for each gateway. So they begin at random, and
 			// together have the burst; the rest of the unit is for a counter that says nothing. Where there is no
 			// counter, nothing else lets a customer in.
@@ -155,7 +155,7 @@
 			if c.terms.share > 0 {
 				return // a place may come free before its time is over
 			}
-			// Danger: were places leased, each gateway's asks would look to the others like places that are
+			// Were places leased, each gateway's asks would look to the others like places that are
 			// taken, and crowd the counter. So each has its own, and a client comes to another gateway.
 			g.giveBack(j, ReasonCap)
 			continue
@@ -165,7 +165,7 @@
 			switch {
 			case c.units >= j.Units:
 				c.units -= j.Units
-				// Danger: with a counter that answers now and then, leases and the local share would
+				// With a counter that answers now and then, leases and the local share would
 				// add up to more than the quota. So leases count against the share too.
 				if !c.terms.reported {
 					c.takeLocal(g.now, 0)
@@ -264,7 +264,7 @@
 	return floor
 }
 
-// crowded leaves a call out, the more often the more of late have failed. Danger: each of many gateways
+// crowded leaves a call out, the more often the more of late have failed. Each of many gateways
 // learns for itself that a quota is used up, and a client that was refused for it comes again elsewhere, so
 // most calls of a crowd are for repeats, and get nothing. Those go first, and the lowest level before others.
 func (g *Gateway) crowded(c *customer) bool {
@@ -305,7 +305,7 @@
 	k := call{customer: c, name: c.name, window: c.window, floor: floor, owed: c.owed, ask: true}
 	if c.terms.reported {
 		k.fill = c.unused(floor)
-		// Danger: of a customer beyond its quota most calls get nothing, and what they added is missing to the
+		// Of a customer beyond its quota most calls get nothing, and what they added is missing to the
 		// others until it is back. So the next one after that looks first, and a further one takes. Of many
 		// gateways one that gets no more than its part of the rate was dry by others' leases: it needs no look.
 		switch {
@@ -318,7 +318,7 @@
 		need = math.Ceil(need) + math.Floor(c.block()) // a unit that nobody comes for is missing to the others
 		k.units = max(min(need, c.terms.allowance), 1)
 		if k.fill = max(floor-c.known, 0); c.known == 0 {
-			// Danger: a window that is new to this gateway may be new to all. The call that starts it must
+			// A window that is new to this gateway may be new to all. The call that starts it must
 			// tell, in one step, that not all of the store is there; who was not the first takes it back.
 			k.fill = floor + c.terms.allowance - c.terms.spare
 		}
@@ -343,7 +343,7 @@
 	}
 	switch {
 	case e.Outcome == Errored || e.Outcome == Broken:
-		// Danger: a spoilt answer or connection says nothing of a crowd. Were it taken for one, calls would be
+		// A spoilt answer or connection says nothing of a crowd. Were it taken for one, calls would be
 		// left out that the counter bears, and customers refused inside their quotas.
 		if e.Outcome == Errored {
 			c.takeBack(k)
@@ -351,7 +351,7 @@
 		c.restTill = g.now + c.rest // the first time none at all
 		c.rest = min(max(2*c.rest, counterRest), counterMost)
 	case e.Outcome != Served:
-		// Danger: a unit that was not given back is missing to all gateways. A call turned away has
+		// A unit that was not given back is missing to all gateways. A call turned away has
 		// changed nothing and is made again; one unanswered may have counted and is let be.
 		if e.Outcome != TimedOut {
 			c.tellLater(k)
@@ -392,7 +392,7 @@
 	}
 }
 
-// countedLate takes what came of a call after it was given up. Danger: a counter that is slow for a moment
+// countedLate takes what came of a call after it was given up. A counter that is slow for a moment
 // adds all the same, and what it added and nobody uses is missing at all gateways. So a late total grants
 // as one in time would, and ends the rest. It stands for a counter slow for all, and where silence was a
 // network's; a total too old for its window is of no use.
@@ -447,7 +447,7 @@
 	unit, avail := c.unit(), c.terms.allowance-(target-k.floor)
 	grant := fitting(k.units, avail, unit)
 	if grant < k.units {
-		// Danger: another gateway may be about to take back what it wrote off twice; until it has, the store
+		// Another gateway may be about to take back what it wrote off twice; until it has, the store
 		// looks emptier than it is.
 		short := min(2*unit-avail+grant, dryMost*unit)
 		c.dryUntil = g.now + max(short/max(c.terms.rate, 1e-3), g.set.Tick)
@@ -494,7 +494,7 @@
 // not written off yet, what was leased before, and what each gateway has spent and not told: its own share,
 // reportPart of a burst or reportMin, whichever is most. Over long times that is the rate.
 func (g *Gateway) settle(c *customer, k call, total float64) {
-	// Danger: two gateways may write off the same refill. Each takes its own as a guess, and who came second
+	// Two gateways may write off the same refill. Each takes its own as a guess, and who came second
 	// finds too much there and takes it back. What a call takes back is none, nor what goes on from a window.
 	taken := total - k.units
 	if !k.carried {
@@ -510,7 +510,7 @@
 	c.lag = level - taken
 	fresh := taken-k.owed < refundLeast && g.now-c.leftAt < levelSpan
 	if fresh {
-		// Danger: a window begins with a full store. One that was empty a moment ago goes on from there, or
+		// A window begins with a full store. One that was empty a moment ago goes on from there, or
 		// each window would let in a burst more.
 		level = max(level, k.floor+lent-c.left)
 	}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -118,8 +118,8 @@
 		g.arrivals[l] += gain * (g.arrived[l]/span - g.arrivals[l])
 		g.arrived[l] = 0
 	}
-	keep := g.roster[:0]
-	for _, c := range g.roster {
+	keep := g.customerList[:0]
+	for _, c := range g.customerList {
 		if g.now >= c.expires {
 			if c.terms.reported {
 				c.owed -= max(c.units, 0) // the next call gives them back
@@ -141,5 +141,5 @@
 			g.admit(c)
 		}
 	}
-	g.roster = keep
+	g.customerList = keep
 }
--- a/rules/state.go
+++ b/rules/state.go
@@ -17,17 +17,17 @@
 	rng    *rand.Rand
 	out    []Action
 
-	jobs      map[RequestID]*job
-	queues    [][]*job // by level, each in order of arrival
-	worths    []float64
-	servers   map[BackendID]*server
-	list      []*server // by id
-	customers map[CustomerID]*customer
-	roster    []*customer       // by first sight
-	calls     map[uint64][]call // out, by name, in order
-	lastCall  uint64
-	lost      []call // that ended with no answer lately, oldest first
-	born      float64
+	jobs         map[RequestID]*job
+	queues       [][]*job // by level, each in order of arrival
+	worths       []float64
+	servers      map[BackendID]*server
+	list         []*server // by id
+	customers    map[CustomerID]*customer
+	customerList []*customer       // by first sight
+	calls        map[uint64][]call // out, by name, in order
+	lastCall     uint64
+	lost         []call // that ended with no answer lately, oldest first
+	born         float64
 
 	bound, lastCut    float64 // most attempts in flight, and when that was last cut
 	inFlight          int
