--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -25,6 +25,7 @@
 	ended    chan error
 	hup      chan os.Signal
 	config   atomic.Pointer[string] // what a reload reads
+	reading  atomic.Int64           // nanoseconds that a reload takes to read it
 }
 
 // newRig starts a gateway that knows the given backends and waits until it is
@@ -57,7 +58,10 @@
 	ctx, stop := context.WithCancel(context.Background())
 	r.stop = stop
 	r.config.Store(&config)
-	reload := Reload{r.hup, func() (Config, error) { return parseConfig([]byte(*r.config.Load())) }}
+	reload := Reload{r.hup, func() (Config, error) {
+		time.Sleep(time.Duration(r.reading.Load()))
+		return parseConfig([]byte(*r.config.Load()))
+	}}
 	done := make(chan struct{})
 	go func() { defer close(done); r.ended <- serve(ctx, &c, way(l), reload) }()
 	t.Cleanup(func() { stop(); <-done })
--- a/internal/gateway/race_test.go
+++ b/internal/gateway/race_test.go
@@ -631,6 +631,23 @@
 	}
 }
 
+// A stop's times count from the signal, also where a reload is under way then.
+func TestStopDuringReload(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, newPeer(t))
+	const reading = 500 * time.Millisecond
+	r.reading.Store(int64(reading))
+	r.hup <- syscall.SIGHUP
+	began := time.Now()
+	r.stop()
+	if err := wait(t, r.ended, "end"); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+	if took, most := time.Since(began), newStopSchedule(time.Second).listen+reading/2; took > most {
+		t.Errorf("ended %v after the stop, want %v at most", took, most)
+	}
+}
+
 // closedListener waits until clients are taken no longer.
 func (r *rig) closedListener(t *testing.T) {
 	t.Helper()
