Find addresses for gateways where no connection takes their port meanwhile

FreeAddress gave back a port of 127.0.0.1, from whose ports all connections of the run are made. Each call takes an address of its own now.

--- a/internal/lab/real/gateway.go
+++ b/internal/lab/real/gateway.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -91,10 +92,15 @@
 	return g, nil
 }
 
-// FreeAddress finds an address that nothing listens at. Another program may take
-// it before the gateway does; the gateway then ends with a message.
+// addresses counts the calls of FreeAddress.
+var addresses atomic.Uint32
+
+// FreeAddress finds an address that nothing listens at. Each call takes another one of 127.0.0.0/8, clear of 127.0.0.1: a
+// port that is free there for a moment may be taken by a connection that some program makes.
 func FreeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	n := addresses.Add(1)
+	ip := net.IPv4(127, byte(firstNet+os.Getpid()%nets), byte(n>>8), byte(n))
+	l, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: ip})
 	if err != nil {
 		return "", err
 	}
@@ -102,6 +108,12 @@
 	return l.Addr().String(), nil
 }
 
+// Addresses of different processes are in different networks, most likely.
+const (
+	firstNet = 16
+	nets     = 200
+)
+
 // ErrNeverReady is returned for a gateway that runs and has not become ready in time.
 var ErrNeverReady = errors.New("the gateway is not ready in time")
 
