--- a/cmd/fleetlab/soak.go
+++ b/cmd/fleetlab/soak.go
@@ -93,8 +93,8 @@
 func printSoak(out io.Writer, r soak.Result) {
 	v := r.Verdict
 	fmt.Fprintf(out, "seed %d: %d gateways, %d stops, longest deadline %v, crowd %d: %d served, %d refused, %d failed, %d left, "+
-		"%d crossed a close, %d excused, %d faults\n", r.Plan.Seed, r.Plan.Gateways, len(r.Plan.Stops),
-		soak.KillAfter(r.Plan.Classes)-soak.KillDelay, r.Plan.Crowd, v.Served, v.Refused, v.Failed, v.Left, v.Crossed, v.Excused,
+		"%d crossed a close, %d ended by a kill with no warning, %d excused, %d faults\n", r.Plan.Seed, r.Plan.Gateways, len(r.Plan.Stops),
+		soak.KillAfter(r.Plan.Classes)-soak.KillDelay, r.Plan.Crowd, v.Served, v.Refused, v.Failed, v.Left, v.Crossed, v.Abrupt, v.Excused,
 		len(v.Faults))
 	for i, f := range v.Faults {
 		if i == mostFaults {
--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -125,7 +125,8 @@
 // Verdict is what Check found.
 type Verdict struct {
 	Faults  []Fault
-	Excused int // requests that a SIGKILL found unanswered, and that had come early enough in the stop to be excused
+	Excused int // requests that a stop's SIGKILL found unanswered, and that had come early enough to be excused
+	Abrupt  int // requests that ended with a process that was killed with no warning
 	Crossed int // requests that crossed the close of their connection unread
 	Served  int
 	Refused int // answered 429 or 503
@@ -202,8 +203,8 @@
 	case s.Status != 0:
 		c.verdict.Failed++
 		c.inTime(s)
-	case life != nil && life.abrupt && s.Ended >= life.Killed-killSlack: // an unplanned kill owes nothing
-		c.verdict.Excused++
+	case life != nil && life.abrupt && s.Ended >= life.Killed-killSlack: // it owes nothing
+		c.verdict.Abrupt++
 	case life != nil && life.Killed > 0 && s.Ended >= life.Killed-killSlack && s.Sent <= life.Stopped+KillDelay:
 		c.verdict.Excused++
 	case len(c.of(s)) > 0:
