Derive what the log tells of an open request, and look a request's connection up in one place

Found in reading the change once more; the behaviour is the same. A request kept its class's name and the time of its read beside the number of the class and the time it counts from; both are derived where a stop logs them. Three look-ups of a connection are connOf. The schedule's kill was read by nobody, and neither were two fields of a test's connection. longAgo has a name.

--- a/internal/asynclog/asynclog.go
+++ b/internal/asynclog/asynclog.go
@@ -2,6 +2,7 @@
 package asynclog
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync/atomic"
@@ -35,7 +36,7 @@
 // Write takes a line, or drops it if too many wait. It returns len(p) and no error in either case.
 func (w *Writer) Write(p []byte) (int, error) {
 	select {
-	case w.lines <- line{text: append([]byte(nil), p...)}:
+	case w.lines <- line{text: bytes.Clone(p)}:
 	default:
 		w.dropped.Add(1)
 	}
--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -52,6 +52,9 @@
 	deadline time.Time     // for reading, as the server wants it; zero: none
 }
 
+// longAgo is a deadline that ends a wait at once.
+var longAgo = time.Unix(1, 0)
+
 var errFlood = errors.New("too much behind an open request")
 
 // Read takes note of a request that begins, and keeps what comes behind one that is open: the server watches for a
@@ -123,7 +126,7 @@
 	cutoff := c.table.cutoff
 	switch {
 	case c.ending:
-		return c.Conn.SetReadDeadline(time.Unix(1, 0))
+		return c.Conn.SetReadDeadline(longAgo)
 	case c.phase.Load() != idle && !cutoff.IsZero() && cutoff.Before(c.deadline):
 		return c.Conn.SetReadDeadline(cutoff)
 	}
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -105,7 +105,7 @@
 // listener. To close it at once would reset them.
 func (c *clients) stopAccepting() {
 	if l, ok := c.Listener.(deadlineListener); ok {
-		l.SetDeadline(time.Unix(1, 0)) // wakes Accept
+		l.SetDeadline(longAgo) // wakes Accept
 		return
 	}
 	c.Close()
@@ -315,7 +315,7 @@
 	var list []openRequest
 	for q := range c.conns {
 		if x := q.request.Load(); x != nil && len(list) < most {
-			list = append(list, openRequest{id: x.id, class: x.class, client: q.RemoteAddr().String(), open: time.Since(x.readAt)})
+			list = append(list, openRequest{exchange: x, client: q.RemoteAddr().String()})
 		}
 	}
 	return list
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -45,9 +45,7 @@
 
 // exchange is one request of a client, from its last byte to its final answer.
 type exchange struct {
-	id     string // the client's own
-	class  string // its name
-	readAt time.Time
+	id     string        // the client's own
 	ask    rules.Request // the loop gives it its id
 	method string
 	uri    string
@@ -97,6 +95,12 @@
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
+// connOf returns the connection that a request came on; nil outside of a server.
+func connOf(r *http.Request) *clientConn {
+	conn, _ := r.Context().Value(connKey{}).(*clientConn)
+	return conn
+}
+
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == readyPath {
 		if f.leaving.Load() {
@@ -117,7 +121,7 @@
 		http.Error(w, err.Error(), status)
 		return
 	}
-	conn := r.Context().Value(connKey{}).(*clientConn)
+	conn := connOf(r)
 	if ended(conn.Conn) {
 		// Its connection may have waited long to be accepted, and the server's watch for a client that
 		// leaves has only just begun.
@@ -183,8 +187,6 @@
 	}
 	x.ask = ask
 	x.id = r.Header.Get(idHeader)
-	x.class = f.deploy.ClassNames[ask.Class]
-	x.readAt = time.Now()
 	class := &f.deploy.Classes[ask.Class]
 	switch key := r.Header.Get(keyHeader); {
 	case class.Effect == rules.Repeatable && r.Method != http.MethodGet,
@@ -204,7 +206,7 @@
 		if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
 			return nil, http.StatusRequestEntityTooLarge, errTooLong
 		} else if errors.Is(err, os.ErrDeadlineExceeded) {
-			conn := r.Context().Value(connKey{}).(*clientConn)
+			conn := connOf(r)
 			return nil, conn.table.refusal(conn), fmt.Errorf("body: %w", err)
 		} else if err != nil {
 			return nil, http.StatusBadRequest, fmt.Errorf("body: %w", err)
@@ -212,7 +214,7 @@
 		io.Copy(io.Discard, r.Body) // to its end: only then does the server watch for a client that leaves
 		now = f.loop.clock.now()    // a request's time counts from its last byte
 	}
-	if conn, ok := r.Context().Value(connKey{}).(*clientConn); ok {
+	if conn := connOf(r); conn != nil {
 		now -= conn.takeWaited().Seconds()
 	}
 	// The time-out for reading the request would end the watch.
--- a/internal/gateway/race_test.go
+++ b/internal/gateway/race_test.go
@@ -33,12 +33,10 @@
 
 type gatedConn struct {
 	*net.TCPConn
-	way    *gated
-	waits  atomic.Int32 // for a request or more of it, so far
-	closed chan struct{}
-	once   atomic.Bool
-	armed  atomic.Bool
-	ended  chan struct{} // its wait for a request was ended, once armed
+	way   *gated
+	waits atomic.Int32 // for a request or more of it, so far
+	armed atomic.Bool
+	ended chan struct{} // its wait for a request was ended, once armed
 }
 
 func (g *gated) Accept() (net.Conn, error) {
@@ -54,7 +52,7 @@
 	if g.accepted != nil {
 		g.accepted()
 	}
-	at := &gatedConn{TCPConn: c.(*net.TCPConn), way: g, closed: make(chan struct{}), ended: make(chan struct{})}
+	at := &gatedConn{TCPConn: c.(*net.TCPConn), way: g, ended: make(chan struct{})}
 	g.conns.Store(c.RemoteAddr().String(), at)
 	return at, nil
 }
@@ -84,13 +82,6 @@
 	return err
 }
 
-func (c *gatedConn) Close() error {
-	if c.once.CompareAndSwap(false, true) {
-		close(c.closed)
-	}
-	return c.TCPConn.Close()
-}
-
 func unchanged(config string) string { return config }
 
 // withCounter gives the test's customers a quota kept on a counter, which is
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -25,7 +25,6 @@
 	admit  time.Duration // requests that are whole by then are taken; others get 503
 	listen time.Duration // connections are accepted up to then
 	answer time.Duration // by then the decisions have given every request its final answer
-	kill   time.Duration // SIGKILL may come from then on
 	end    time.Duration // without SIGKILL, the process ends then whatever clients do
 }
 
@@ -35,7 +34,7 @@
 	kill := held + killDelay
 	answer := kill - stallMost - deliveryTime
 	admit := answer - held
-	return stopSchedule{admit: admit, listen: admit + listenMargin, answer: answer, kill: kill, end: kill + slowReaderEnd}
+	return stopSchedule{admit: admit, listen: admit + listenMargin, answer: answer, end: kill + slowReaderEnd}
 }
 
 var errClientsLeft = errors.New("clients were still open at the end")
@@ -93,21 +92,17 @@
 		time.Sleep(lastLook)
 	}
 	for _, open := range g.clients.unanswered(mostListed) {
-		g.log.Error("stop: a request is left without its whole answer", "request", open)
+		x := open.exchange
+		g.log.Error("stop: a request is left without its whole answer", slog.Group("request", "id", x.id,
+			"class", g.config.ClassNames[x.ask.Class], "client", open.client,
+			"open", seconds(g.front.loop.clock.now()-x.ask.Sent)))
 	}
 }
 
-// openRequest is what is known of a request on a connection.
+// openRequest is a request that is open on a client's connection.
 type openRequest struct {
-	id, class string
-	client    string        // address
-	open      time.Duration // since it was read
-}
-
-// LogValue lists the fields.
-func (r openRequest) LogValue() slog.Value {
-	return slog.GroupValue(slog.String("id", r.id), slog.String("class", r.class), slog.String("client", r.client),
-		slog.Duration("open", r.open))
+	*exchange
+	client string // its address
 }
 
 // longestDeadline is how long a client may wait for its answer, at most.
