--- a/cmd/elderyard/log_test.go
+++ b/cmd/elderyard/log_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"linnetbend/internal/lab/real"
 	"linnetbend/internal/lab/soak"
 )
 
@@ -24,21 +23,13 @@
 			defer reader.Close()
 			classes := []soak.Class{{Name: string(soak.Once), Effect: soak.Once, Deadline: time.Second}}
 			_, discovery := hangingBackends(t, soak.NewClock())
-			listen, err := real.FreeAddress()
-			if err != nil {
-				t.Fatal(err)
-			}
-			setup := soak.Setup{Name: "n1", Listen: listen, Discovery: discovery, Sockets: 256, Classes: classes}
-			options, err := setup.Options()
-			if err != nil {
-				t.Fatal(err)
-			}
+			options := gatewayOptions(t, classes, discovery)
 			config, err := options.Config()
 			if err != nil {
 				t.Fatal(err)
 			}
 			cmd, _ := command(t, string(config))
-			cmd.Env = append(cmd.Env, commandEnv...)
+			cmd.Env = append(cmd.Env, options.Env...)
 			cmd.Stderr = writer
 			if err := cmd.Start(); err != nil {
 				t.Fatal(err)
@@ -47,7 +38,7 @@
 			ended := make(chan error, 1)
 			go func() { ended <- cmd.Wait() }()
 			defer cmd.Process.Kill()
-			awaitReady(t, listen)
+			awaitReady(t, options.Listen)
 			if closed {
 				reader.Close()
 			}
@@ -55,7 +46,7 @@
 				cmd.Process.Signal(syscall.SIGHUP)
 				time.Sleep(time.Millisecond)
 			}
-			awaitReady(t, listen)
+			awaitReady(t, options.Listen)
 			cmd.Process.Signal(syscall.SIGTERM)
 			select {
 			case err := <-ended:
--- a/cmd/elderyard/stop_test.go
+++ b/cmd/elderyard/stop_test.go
@@ -126,25 +126,31 @@
 // startProcess starts a gateway as the command does and waits until it is ready.
 func startProcess(t *testing.T, classes []soak.Class, discovery string) (process *real.Gateway, listen string) {
 	t.Helper()
-	listen, err := real.FreeAddress()
+	options := gatewayOptions(t, classes, discovery)
+	process, err := real.Start(t.Context(), real.Program{Command: "exec " + os.Args[0], Dir: "."}, options)
 	if err != nil {
 		t.Fatal(err)
 	}
-	setup := soak.Setup{Name: "n1", Listen: listen, Discovery: discovery, Sockets: 1024, Classes: classes,
-		Env: commandEnv}
-	options, err := setup.Options()
-	if err != nil {
+	t.Cleanup(func() { process.Close() })
+	if _, err := process.Ready(t.Context(), patience); err != nil {
 		t.Fatal(err)
 	}
-	process, err = real.Start(t.Context(), real.Program{Command: "exec " + os.Args[0], Dir: "."}, options)
+	return process, options.Listen
+}
+
+// gatewayOptions are those of a gateway of its own at a free address.
+func gatewayOptions(t *testing.T, classes []soak.Class, discovery string) real.Options {
+	t.Helper()
+	listen, err := real.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { process.Close() })
-	if _, err := process.Ready(t.Context(), patience); err != nil {
+	setup := soak.Setup{Name: "n1", Listen: listen, Discovery: discovery, Sockets: 1024, Classes: classes, Env: commandEnv}
+	options, err := setup.Options()
+	if err != nil {
 		t.Fatal(err)
 	}
-	return process, listen
+	return options
 }
 
 // hangingBackends starts backends that take requests and never answer, and a discovery that lists them.
--- a/internal/lab/experiment/run.go
+++ b/internal/lab/experiment/run.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"linnetbend/internal/lab/pause"
 	"linnetbend/internal/lab/real"
 )
 
@@ -62,12 +63,10 @@
 
 // sleep waits, or returns why ctx ended.
 func sleep(ctx context.Context, d time.Duration) error {
-	select {
-	case <-time.After(d):
-		return nil
-	case <-ctx.Done():
+	if !pause.For(ctx, d) {
 		return context.Cause(ctx)
 	}
+	return nil
 }
 
 func oneLine(err error) string { return strings.Join(strings.Fields(err.Error()), " ") }
--- a/internal/lab/hollow/run.go
+++ b/internal/lab/hollow/run.go
@@ -12,6 +12,8 @@
 	"linnetbend/internal/gateway"
 	"linnetbend/internal/lab/load"
 	"linnetbend/rules"
+
+	"linnetbend/internal/lab/pause"
 )
 
 const (
@@ -95,7 +97,7 @@
 		running.Go(func() {
 			listed := sync.OnceFunc(starting.Done)
 			defer listed()
-			if !sleep(ctx, seconds(h.StartSpreadS*float64(n)/float64(h.Gateways))) {
+			if !pause.For(ctx, seconds(h.StartSpreadS*float64(n)/float64(h.Gateways))) {
 				return
 			}
 			began := time.Now()
@@ -141,18 +143,6 @@
 	return seconds(h.WarmS+h.RunS+most+h.deployment.AnswerSlack) + drainMargin
 }
 
-// sleep waits and tells whether ctx still stands.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // resources are what the process has used since its start.
--- /dev/null
+++ b/internal/lab/pause/pause.go
@@ -0,0 +1,19 @@
+// Package pause waits for a while, or until a run is over.
+package pause
+
+import (
+	"context"
+	"time"
+)
+
+// For waits and tells whether ctx still stands.
+func For(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"linnetbend/internal/gateway"
+	"linnetbend/internal/lab/pause"
 	"linnetbend/internal/lab/real"
 	"linnetbend/internal/lab/registry"
 )
@@ -237,11 +238,11 @@
 		if s.Gateway != n.number {
 			continue
 		}
-		if !sleepUntil(ctx, r.clock.At(s.At-time.Second)) {
+		if !pause.For(ctx, time.Until(r.clock.At(s.At-time.Second))) {
 			return
 		}
 		r.stop(n, s)
-		if !sleepUntil(ctx, time.Now().Add(s.Rest)) {
+		if !pause.For(ctx, s.Rest) {
 			return
 		}
 		if err := r.begin(ctx, n); err != nil && ctx.Err() == nil {
@@ -313,7 +314,7 @@
 			at        time.Duration
 			lifecycle string
 		}{{d.At, "Terminating"}, {d.Gone, "Gone"}, {d.BackAt, "Ready"}} {
-			if !sleepUntil(ctx, r.clock.At(step.at)) {
+			if !pause.For(ctx, time.Until(r.clock.At(step.at))) {
 				return
 			}
 			entry := r.listed[d.Backend]
@@ -329,11 +330,11 @@
 // outages plays the silences of discovery.
 func (r *run) outages(ctx context.Context) {
 	for _, o := range r.plan.Outages {
-		if !sleepUntil(ctx, r.clock.At(o.From)) {
+		if !pause.For(ctx, time.Until(r.clock.At(o.From))) {
 			return
 		}
 		r.finding.Silence(true)
-		sleepUntil(ctx, r.clock.At(o.To))
+		pause.For(ctx, time.Until(r.clock.At(o.To)))
 		r.finding.Silence(false)
 	}
 }
@@ -358,15 +359,3 @@
 	}
 	ending.Wait()
 }
-
-// sleepUntil waits for a moment. It returns false if ctx ends first.
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/lab/soak/work.go
+++ b/internal/lab/soak/work.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"net"
 	"time"
+
+	"linnetbend/internal/lab/pause"
 )
 
 const (
@@ -22,15 +24,15 @@
 	for ctx.Err() == nil {
 		conn := r.connect(rng, -1)
 		if conn == nil {
-			sleepUntil(ctx, time.Now().Add(noGateway))
+			pause.For(ctx, noGateway)
 			continue
 		}
 		if rng.IntN(3) == 0 {
-			sleepUntil(ctx, time.Now().Add(span(rng, 0, longestRest)))
+			pause.For(ctx, span(rng, 0, longestRest))
 		}
 		for reuse := true; reuse && ctx.Err() == nil && !conn.Ended(); {
 			reuse = r.exchange(rng, conn)
-			sleepUntil(ctx, time.Now().Add(span(rng, 0, longestThink)))
+			pause.For(ctx, span(rng, 0, longestThink))
 		}
 		conn.Close()
 	}
@@ -129,7 +131,7 @@
 			}
 		}
 	}()
-	for next := 0; sleepUntil(ctx, time.Now().Add(crowdPause)); next = (next + 1) % len(places) {
+	for next := 0; pause.For(ctx, crowdPause); next = (next + 1) % len(places) {
 		if places[next] != nil {
 			places[next].Close() // the gateway has most likely ended it
 		}
