--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -61,6 +61,7 @@
 		if err != nil {
 			return
 		}
+		b.lab.Logf("%s: got %s %s %s whole", b.Name, request.Method, request.RequestURI, request.Header.Get("X-Correlation-Id"))
 		keep := b.handle(&Attempt{
 			ID: request.Header.Get("X-Correlation-Id"), Method: request.Method, Target: request.RequestURI, Body: body,
 			TimeLeft: request.Header.Get("X-Time-Left-Ms"), At: time.Now(), Conn: conn, Reader: reader, Backend: b,
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -59,6 +59,7 @@
 // Client is one connection of a client. It sends one request at a time.
 type Client struct {
 	Address string
+	Lab     *Lab // each request and its answer are written to its record
 	conn    net.Conn
 	reader  *bufio.Reader
 }
@@ -68,12 +69,21 @@
 	sentAt := time.Now()
 	response := c.try(r, patience)
 	response.Took = time.Since(sentAt)
+	c.Lab.Logf("client: sent %s /%s %s with %v left, answered %d after %v%s", r.Method, r.Class, r.ID, r.Timeout,
+		response.Status, response.Took.Round(100*time.Microsecond), errorText(response.Err))
 	if response.Status == 0 || response.Close {
 		c.Close()
 	}
 	return response
 }
 
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return ": " + err.Error()
+}
+
 func (c *Client) try(r *Request, patience time.Duration) Response {
 	if c.conn == nil {
 		conn, err := net.DialTimeout("tcp", c.Address, 3*time.Second)
--- a/review/standin/lab.go
+++ b/review/standin/lab.go
@@ -4,14 +4,16 @@
 package standin
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
-	"io"
 	"net"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -30,7 +32,8 @@
 	start   time.Time
 
 	mu      sync.Mutex
-	record  io.WriteCloser
+	file    *os.File
+	record  *bufio.Writer // writes to file
 	closers []func()
 }
 
@@ -42,6 +45,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(CannotRun)
 	}
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		lab.Logf("stopped by %v", <-stopped)
+		lab.close()
+		os.Exit(CannotRun)
+	}()
 	time.AfterFunc(limit, func() {
 		lab.Logf("the case took longer than %v", limit)
 		lab.close()
@@ -63,11 +73,12 @@
 	if err != nil {
 		return nil, err
 	}
-	record, err := os.Create(filepath.Join(caseDir, "record.txt"))
+	file, err := os.Create(filepath.Join(caseDir, "record.txt"))
 	if err != nil {
 		return nil, err
 	}
-	lab := &Lab{Root: root, Dir: dir, Trouble: os.Getenv("TROUBLE") != "0", start: time.Now(), record: record}
+	lab := &Lab{Root: root, Dir: dir, Trouble: os.Getenv("TROUBLE") != "0", start: time.Now()}
+	lab.file, lab.record = file, bufio.NewWriterSize(file, 1<<16)
 	lab.Logf("trouble: %v", lab.Trouble)
 	return lab, nil
 }
@@ -103,7 +114,8 @@
 	os.RemoveAll(l.Dir)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.record.Close()
+	l.record.Flush()
+	l.file.Close()
 }
 
 // Listen listens on a free port of 127.0.0.1 until the end of the case.
