--- a/review/cmd/lateanswer/main.go
+++ b/review/cmd/lateanswer/main.go
@@ -5,8 +5,10 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"regexp"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,7 +27,8 @@
 	maxOneWay    = 2600 * time.Microsecond
 	minLate      = 8 * time.Millisecond // STANDING: a second answer may come some milliseconds late
 	maxLate      = 10 * time.Millisecond
-	copyShare    = 0.3
+	copyShare    = 0.3  // share of the other answers that come in two copies
+	turnAway     = 0.12 // share of the requests that backends turn away with X-Unprocessed, all in two copies
 	requestLimit = 2 * time.Second
 
 	// maxGap is the longest time between an answer and its second copy at the gateway's end of the network. A foreign
@@ -39,17 +42,26 @@
 // other request has arrived on the connection by then.
 type backend struct {
 	lab    *standin.Lab
+	seen   *arrivals
 	copies atomic.Int64
 	held   atomic.Int64 // copies not sent, since another request waited on the connection or the time had passed
 }
 
 func (b *backend) handle(a *standin.Attempt) bool {
+	answer, twoCopies := standin.Answer("answer to "+a.ID), rand.Float64() < copyShare
+	if rand.Float64() < turnAway {
+		b.lab.Logf("%s: turns %s away, it never runs", a.Backend.Name, a.ID)
+		twoCopies = true
+		answer = fmt.Appendf(nil, "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nX-Note: answer to %s\r\n"+
+			"Content-Length: 0\r\n\r\n", a.ID)
+	} else {
+		b.seen.ran(a)
+	}
 	standin.SleepUntil(a.At.Add(minWork + rand.N(maxWork-minWork)))
-	answer := standin.Answer("answer to " + a.ID)
 	if _, err := a.Conn.Write(answer); err != nil {
 		return false
 	}
-	if !b.lab.Trouble || rand.Float64() >= copyShare {
+	if !b.lab.Trouble || !twoCopies {
 		return true
 	}
 	answeredAt := time.Now()
@@ -61,7 +73,9 @@
 	if _, err := a.Conn.Write(answer); err != nil {
 		return false
 	}
+	b.lab.Logf("%s: sent a second copy of the answer to %s after %v", a.Backend.Name, a.ID, time.Since(answeredAt))
 	b.copies.Add(1)
+	b.seen.copied(a)
 	return true
 }
 
@@ -70,6 +84,36 @@
 	mu    sync.Mutex
 	first map[string]time.Time
 	gap   map[string]time.Duration // time from the answer to its second copy
+	last  map[net.Conn]string      // the request whose answer came last on a backend's connection in two copies
+	runs  map[string][]execution   // by request
+}
+
+// execution is one attempt that a backend has run.
+type execution struct {
+	backend string
+	behind  string // the request on the same connection whose answer had a second copy just before; "" if none
+}
+
+// ran records that a backend has run a request.
+func (a *arrivals) ran(attempt *standin.Attempt) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.runs[attempt.ID] = append(a.runs[attempt.ID], execution{attempt.Backend.Name, a.last[attempt.Conn]})
+	delete(a.last, attempt.Conn)
+}
+
+// copied records that a second copy of the answer to a request was sent.
+func (a *arrivals) copied(attempt *standin.Attempt) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.last[attempt.Conn] = attempt.ID
+}
+
+// executions returns the attempts of a request that backends have run.
+func (a *arrivals) executions(id string) []execution {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Clone(a.runs[id])
 }
 
 var answerID = regexp.MustCompile(`answer to ([0-9a-f]{16})`)
@@ -99,11 +143,15 @@
 	foreign                       atomic.Int64 // 200 with a second copy that came within maxGap
 	later                         atomic.Int64 // 200 with a copy that came later than maxGap
 	shifted                       atomic.Int64 // 200 with another request's first answer, behind a copy that was taken for an answer
+	twice                         atomic.Int64 // advance-draws that ran twice, behind a copy that came within maxGap
 }
 
 func run(lab *standin.Lab) (int, error) {
-	b := &backend{lab: lab}
-	seen := &arrivals{first: map[string]time.Time{}, gap: map[string]time.Duration{}}
+	seen := &arrivals{
+		first: map[string]time.Time{}, gap: map[string]time.Duration{}, last: map[net.Conn]string{},
+		runs: map[string][]execution{},
+	}
+	b := &backend{lab: lab, seen: seen}
 	var entries []standin.Entry
 	var proxies []*standin.Proxy
 	for n := range backends {
@@ -156,8 +204,9 @@
 	lab.Printf("served %d, refused %d, failed %d, no answer %d", r.served.Load(), r.refused.Load(), r.failed.Load(), r.lost.Load())
 	lab.Printf("served with a foreign answer: %d by a copy within %v, %d by a copy that was later, %d behind those",
 		r.foreign.Load(), maxGap, r.later.Load(), r.shifted.Load())
+	lab.Printf("advance-draws that ran twice: %d", r.twice.Load())
 	switch {
-	case r.foreign.Load() > 0:
+	case r.foreign.Load()+r.twice.Load() > 0:
 		return standin.RuleBroken, nil
 	case r.served.Load() < 10000:
 		return standin.CannotRun, nil
@@ -167,7 +216,7 @@
 
 // client is one connection of clients, on which requests follow each other at random times.
 func client(lab *standin.Lab, address string, n int, until time.Time, seen *arrivals, r *result) {
-	connection := standin.Client{Address: address}
+	connection := standin.Client{Address: address, Lab: lab}
 	defer connection.Close()
 	for time.Now().Before(until) {
 		time.Sleep(time.Duration(rand.ExpFloat64() * float64(time.Second) * clients / requestRate))
@@ -179,6 +228,9 @@
 			request.Class, request.Method, request.Body = "advance-draw", http.MethodPost, []byte("draw for "+request.ID)
 		}
 		response := connection.Do(request, 2*time.Second)
+		if request.Method == http.MethodPost {
+			judgeRuns(lab, n, request, response, seen, r)
+		}
 		switch {
 		case response.Status == 0:
 			r.lost.Add(1)
@@ -195,6 +247,25 @@
 	}
 }
 
+// judgeRuns counts an advance-draw that two backends have run.
+func judgeRuns(
+	lab *standin.Lab, n int, request *standin.Request, response standin.Response, seen *arrivals, r *result,
+) {
+	runs := seen.executions(request.ID)
+	if len(runs) < 2 {
+		return
+	}
+	var gap time.Duration
+	for _, run := range runs { // in the order in which they reached their backends
+		gap = max(gap, seen.gapOf(run.behind))
+	}
+	if gap > 0 && gap <= maxGap {
+		r.twice.Add(1)
+	}
+	lab.Logf("client %d: %s /%s %s: RAN %d TIMES, status %d: at %v; a copy came before one of them, %v behind its answer",
+		n, request.Method, request.Class, request.ID, len(runs), response.Status, runs, gap)
+}
+
 // judgeForeign counts a 200 that holds another answer than the one made for the request.
 func judgeForeign(
 	lab *standin.Lab, n int, request *standin.Request, response standin.Response, seen *arrivals, r *result,
