Log the process's memory by use, and count the bytes that requests hold

Its log has two lines from the start and none on memory, so it can't tell apart what the memory was: bodies that are being read, garbage that the collector has not freed yet, goroutine stacks, or free spans that were not returned to the system.

Change: the minute's counts and the shutdown's have the memory of the process by use (runtime/metrics, and the resident anonymous memory), and the bytes of request bodies from the first byte until the handler and the event loop are both done with the request. A warning with the same figures is written when these bytes pass an eighth of the memory limit, since the process may be killed before the minute is over. Nothing is limited yet.

--- a/internal/gateway/acceptdelay_test.go
+++ b/internal/gateway/acceptdelay_test.go
@@ -49,7 +49,8 @@
 	}
 	listener := &channelListener{conns: make(chan net.Conn, 10)}
 	table := newClientConnections(listener, 1)
-	f := &frontend{loop: &eventLoop{clock: newClock()}, deployment: &config.Deployment}
+	f := newFrontend(&config)
+	f.loop = &eventLoop{clock: newClock()}
 	accept := func() *clientConn {
 		conn, err := table.Accept()
 		if err != nil {
--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -17,6 +17,12 @@
 	header        http.Header // headers to forward to the backend
 	body          []byte
 
+	// memory is the memory that the request's bytes occupy. It is released by the last owner of the request.
+	memory reservation
+	// owners is the number of goroutines that use the request: its handler, and the event loop while the request is
+	// open.
+	owners atomic.Int32
+
 	// response receives the final answer. It has capacity for the answer, so that the event loop never blocks.
 	response chan clientResponse
 	// onSent is called in a hollow gateway when the first attempt reaches a backend; nil in other gateways.
@@ -30,3 +36,13 @@
 	attemptsInFlight int  // number of attempts that have not ended
 	attempts         []*attempt
 }
+
+// addOwner records that another goroutine uses the request.
+func (req *clientRequest) addOwner() { req.owners.Add(1) }
+
+// removeOwner records that a goroutine no longer uses the request. The last owner releases the request's memory.
+func (req *clientRequest) removeOwner() {
+	if req.owners.Add(-1) == 0 {
+		req.memory.release()
+	}
+}
--- a/internal/gateway/decode.go
+++ b/internal/gateway/decode.go
@@ -58,9 +58,12 @@
 		return nil, err
 	}
 	var body []byte
+	var memory reservation
 	if r.ContentLength != 0 {
+		memory = f.memory.take(r.ContentLength)
 		body, err = readRequestBody(w, r)
 		if err != nil {
+			memory.release()
 			return nil, err
 		}
 		receivedAt = f.loop.clock.now() // the client's timeout counts from the last byte of its request
@@ -73,7 +76,7 @@
 	// The class's deadline limits the client's timeout. Otherwise, while a backend hangs, a client with a timeout of an
 	// hour could keep its request open for that long, and delay a graceful shutdown.
 	policyRequest.Deadline = min(policyRequest.Deadline, class.Deadline) + receivedAt - responseMargin
-	return &clientRequest{
+	req := &clientRequest{
 		correlationID: r.Header.Get(correlationIDHeader),
 		policyRequest: policyRequest,
 		method:        r.Method,
@@ -81,8 +84,11 @@
 		host:          r.Host,
 		header:        forwardedHeaders(r.Header),
 		body:          body,
+		memory:        memory,
 		response:      make(chan clientResponse, 1),
-	}, nil
+	}
+	req.addOwner()
+	return req, nil
 }
 
 // checkFraming rejects a request if net/http and a backend might find the end of the request at different bytes.
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -17,9 +17,18 @@
 type frontend struct {
 	loop       *eventLoop
 	deployment *wire.Deployment
-	ready      atomic.Bool // readiness checks may be answered 200; set by markReady
-	draining   atomic.Bool // a graceful shutdown has begun: each connection is closed after its next answer
-	rejecting  atomic.Bool // a graceful shutdown has stopped admitting requests
+	memory     *memoryBudget // for the bytes of requests
+	ready      atomic.Bool   // readiness checks may be answered 200; set by markReady
+	draining   atomic.Bool   // a graceful shutdown has begun: each connection is closed after its next answer
+	rejecting  atomic.Bool   // a graceful shutdown has stopped admitting requests
+}
+
+// newFrontend returns a frontend without an event loop. The caller sets the loop before the first request.
+func newFrontend(config *Config) *frontend {
+	return &frontend{
+		deployment: &config.Deployment,
+		memory:     newMemoryBudget("requests", config.requestBytes(), config.logger()),
+	}
 }
 
 // ServeHTTP handles one request of a client.
@@ -33,6 +42,7 @@
 		f.rejectInvalid(w, err)
 		return
 	}
+	defer req.removeOwner()
 	conn := clientConnOf(r)
 	if peerClosed(conn.Conn) {
 		// The client may have disconnected while its connection waited to be accepted, before the HTTP server began to
@@ -85,7 +95,9 @@
 // serveRequest hands a request to the event loop and writes its final answer. It stops waiting for the answer if the
 // client disconnects or the loop ends.
 func (f *frontend) serveRequest(w http.ResponseWriter, r *http.Request, req *clientRequest) {
+	req.addOwner()
 	if !f.loop.post(requestArrived{req}) {
+		req.removeOwner()
 		f.respond(w, clientResponse{status: http.StatusInternalServerError})
 		return
 	}
--- a/internal/gateway/frontend_test.go
+++ b/internal/gateway/frontend_test.go
@@ -238,7 +238,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &frontend{loop: &eventLoop{clock: newClock()}, deployment: &config.Deployment}
+	f := newFrontend(&config)
+	f.loop = &eventLoop{clock: newClock()}
 	for timeLeft, want := range map[string]float64{"3600000": 20, "7000": 7} {
 		text := requestText("GET", "lookup", "", timeLeftHeader, timeLeft)
 		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
--- a/internal/gateway/gatedlistener_test.go
+++ b/internal/gateway/gatedlistener_test.go
@@ -8,14 +8,15 @@
 	"time"
 )
 
-// gatedListener is a listener for clients that calls a test's hooks during accepts and reads, between the gateway and
-// the kernel. Hooks may be nil.
+// gatedListener is a listener for clients that calls a test's hooks during accepts, reads and writes, between the gateway
+// and the kernel. Hooks may be nil.
 type gatedListener struct {
 	net.Listener
 	onAccept           func()       // called before Accept returns an accepted connection
 	acceptError        func() error // called before each accept; an error fails the accept
 	beforeRead         func(*gatedConn)
 	afterRead          func(*gatedConn)            // called after a read that returned bytes
+	beforeWrite        func()                      // called before a write
 	beforeReadDeadline func(*gatedConn, time.Time) // called before a read deadline is set
 	conns              sync.Map                    // maps the client's address to the accepted *gatedConn
 }
@@ -69,6 +70,14 @@
 	return n, err
 }
 
+// Write calls the listener's hook and writes to the client.
+func (c *gatedConn) Write(p []byte) (int, error) {
+	if c.listener.beforeWrite != nil {
+		c.listener.beforeWrite()
+	}
+	return c.TCPConn.Write(p)
+}
+
 // SetReadDeadline sets the read deadline. A deadline in the past ends the current read. If armed is set, a deadline in
 // the past also closes readEnded.
 func (c *gatedConn) SetReadDeadline(deadline time.Time) error {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -19,6 +19,7 @@
 // testGateway is a complete gateway on loopback sockets.
 type testGateway struct {
 	address      string // for clients
+	server       *server
 	discovery    *fakeDiscovery
 	stop         context.CancelFunc
 	serveErr     chan error // receives the result of serve
@@ -58,10 +59,11 @@
 	ctx, stop := context.WithCancel(context.Background())
 	g.stop = stop
 	g.config.Store(&text)
+	g.server = newServer(&config, wrapListener(listener))
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
-		g.serveErr <- serve(ctx, &config, wrapListener(listener), Reload{g.reloadSignal, g.readConfig})
+		g.serveErr <- g.server.serve(ctx, Reload{g.reloadSignal, g.readConfig})
 	}()
 	t.Cleanup(func() { stop(); <-served })
 	if got := g.readinessStatus(t); got != http.StatusServiceUnavailable {
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -6,6 +6,7 @@
 	clientFDShare     = 0.75     // share of the other file descriptors that clients may use; backends get the rest
 	clientMemoryShare = 0.25     // share of the memory that idle client connections may use
 	clientConnBytes   = 24 << 10 // bytes of memory of an idle client connection: two buffers, a stack and table entries
+	requestShare      = 0.125    // share of the memory that the bytes of requests may use
 )
 
 // maxClientConns returns the number of client connections that the limits allow.
@@ -19,3 +20,6 @@
 func (c *Config) maxBackendConns() int {
 	return c.Sockets - reservedFDs - c.maxClientConns()
 }
+
+// requestBytes returns the number of bytes of memory that requests may use.
+func (c *Config) requestBytes() int64 { return int64(requestShare * float64(c.MemoryMB<<20)) }
--- /dev/null
+++ b/internal/gateway/memorybudget_test.go
@@ -0,0 +1,128 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+)
+
+// longBody is a body that does not fit in the buffers of a connection.
+var longBody = strings.Repeat("x", 8<<10)
+
+// expectMemoryReleased waits until no memory is held for requests.
+func (g *testGateway) expectMemoryReleased(t *testing.T) {
+	t.Helper()
+	budget := g.server.frontend.memory
+	awaitCondition(t, "memory of requests is still held", func() bool { return budget.held.Load() == 0 })
+}
+
+// The memory of a request is released however the request ends. Memory that stayed taken would in time turn away all
+// requests.
+func TestRequestMemoryIsReleased(t *testing.T) {
+	t.Parallel()
+	payment := func(change ...string) string { return requestText("POST", "payment", longBody, change...) }
+	expectStatus := func(t *testing.T, answers <-chan *http.Response, status int) {
+		t.Helper()
+		if resp := await(t, answers, "answer"); resp.StatusCode != status {
+			t.Errorf("status %d, want %d", resp.StatusCode, status)
+		}
+	}
+	for name, play := range map[string]func(t *testing.T, g *testGateway, backend *peer){
+		"served": func(t *testing.T, g *testGateway, backend *peer) {
+			_, answers := g.sendRequest(t, payment())
+			serveOne(t, backend, "paid")
+			expectStatus(t, answers, http.StatusOK)
+		},
+		"incomplete, then closed by the client": func(t *testing.T, g *testGateway, _ *peer) {
+			text := payment()
+			conn, _ := g.sendRequest(t, text[:len(text)-1])
+			g.awaitMemoryHeld(t)
+			conn.Close()
+		},
+		"incomplete until the read timeout": func(t *testing.T, g *testGateway, _ *peer) {
+			text := payment()
+			_, answers := g.sendRequest(t, text[:len(text)-1])
+			expectStatus(t, answers, http.StatusRequestTimeout)
+		},
+		"the client disconnects during an attempt": func(t *testing.T, g *testGateway, backend *peer) {
+			conn, _ := g.sendRequest(t, payment())
+			backend.acceptRequest(t)
+			conn.Close()
+		},
+		"the client disconnects before the request is read": func(t *testing.T, g *testGateway, _ *peer) {
+			conn, answers := g.sendRequest(t, payment())
+			conn.(*net.TCPConn).CloseWrite()
+			expectStatus(t, answers, http.StatusBadGateway)
+		},
+		"a duplicate id": func(t *testing.T, g *testGateway, backend *peer) {
+			_, first := g.sendRequest(t, payment(correlationIDHeader, "same"))
+			conn, _ := backend.acceptRequest(t)
+			_, second := g.sendRequest(t, payment(correlationIDHeader, "same"))
+			expectStatus(t, second, http.StatusConflict)
+			respondOK(conn, "paid")
+			expectStatus(t, first, http.StatusOK)
+		},
+		"the backend resets the connection": func(t *testing.T, g *testGateway, backend *peer) {
+			_, answers := g.sendRequest(t, payment())
+			conn, _ := backend.acceptRequest(t)
+			conn.Close()
+			expectStatus(t, answers, http.StatusBadGateway)
+		},
+		"answered while the attempt goes on": func(t *testing.T, g *testGateway, backend *peer) {
+			_, answers := g.sendRequest(t, payment(timeLeftHeader, "200"))
+			backend.acceptRequest(t) // the backend never responds
+			expectStatus(t, answers, http.StatusBadGateway)
+		},
+		"rejected during a shutdown": func(t *testing.T, g *testGateway, _ *peer) {
+			g.server.frontend.rejecting.Store(true)
+			_, answers := g.sendRequest(t, payment())
+			expectStatus(t, answers, http.StatusServiceUnavailable)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			backend := newPeer(t)
+			g := startTestGateway(t, backend)
+			play(t, g, backend)
+			g.expectMemoryReleased(t)
+			if peak := g.server.frontend.memory.peak.Load(); peak < int64(len(longBody)) {
+				t.Errorf("at most %d bytes were held, want the %d of the body", peak, len(longBody))
+			}
+		})
+	}
+}
+
+// awaitMemoryHeld waits until memory is held for a request.
+func (g *testGateway) awaitMemoryHeld(t *testing.T) {
+	t.Helper()
+	budget := g.server.frontend.memory
+	awaitCondition(t, "no memory is held for the request", func() bool { return budget.held.Load() > 0 })
+}
+
+// The memory of a request stays taken while its answer is written, since the request's handler still refers to the
+// request. The client decides how long that takes.
+func TestRequestMemoryIsHeldWhileAnswerIsWritten(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	var hold atomic.Bool
+	writing, release := make(chan struct{}, 1), make(chan struct{})
+	gated := &gatedListener{beforeWrite: func() {
+		if hold.CompareAndSwap(true, false) {
+			writing <- struct{}{}
+			<-release
+		}
+	}}
+	g := startTestGatewayBehind(t, wrapWith(gated), unchangedConfig, backend)
+	hold.Store(true)
+	_, answers := g.sendRequest(t, requestText("POST", "payment", longBody))
+	serveOne(t, backend, strings.Repeat("x", maxBodyBytes)) // more than the HTTP server buffers
+	await(t, writing, "the beginning of the answer")
+	if g.server.frontend.memory.held.Load() == 0 {
+		t.Error("the memory was released before the answer was written")
+	}
+	close(release)
+	await(t, answers, "answer")
+	g.expectMemoryReleased(t)
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -9,7 +9,7 @@
 	"amberlb/policy"
 )
 
-// metricsInterval is the time between two log lines with the counts.
+// metricsInterval is the time between two log lines with the counts and the memory in use.
 const metricsInterval = time.Minute
 
 // metric identifies one count of a gateway.
@@ -89,8 +89,8 @@
 	return slog.GroupValue(attrs...)
 }
 
-// logPeriodically logs the counts every metricsInterval until ctx ends.
-func (m *metrics) logPeriodically(ctx context.Context, log *slog.Logger) {
+// logCountsPeriodically calls logCounts every metricsInterval until ctx ends.
+func (s *server) logCountsPeriodically(ctx context.Context) {
 	ticker := time.NewTicker(metricsInterval)
 	defer ticker.Stop()
 	for {
@@ -98,7 +98,15 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			log.Info("counts", "since_start", m)
+			s.logCounts()
 		}
 	}
 }
+
+// logCounts logs the counts since the start, and the memory in use.
+func (s *server) logCounts() {
+	s.log.Info("counts",
+		"since_start", &s.frontend.loop.metrics,
+		"memory", memoryUsage{},
+		"request_memory", s.frontend.memory)
+}
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -16,11 +16,13 @@
 	if l.deployment.MaxOpenRequests > 0 && len(l.requests) >= l.deployment.MaxOpenRequests {
 		l.metrics.add(requestsOverOpenLimit)
 		req.response <- clientResponse{status: http.StatusServiceUnavailable}
+		req.removeOwner()
 		return
 	}
 	if !l.claimCorrelationID(req) {
 		l.metrics.add(requestsConflicting)
 		req.response <- clientResponse{status: http.StatusConflict}
+		req.removeOwner()
 		return
 	}
 	l.metrics.add(requestsAccepted)
@@ -83,10 +85,12 @@
 }
 
 // removeIfDone removes a request that needs no answer any more and has no attempt in flight. It does nothing for other
-// requests.
+// requests, including those that it has removed before.
 func (l *eventLoop) removeIfDone(req *clientRequest) {
-	if !req.unanswered && req.attemptsInFlight == 0 {
+	isOpen := l.requests[req.policyRequest.ID] == req
+	if isOpen && !req.unanswered && req.attemptsInFlight == 0 {
 		delete(l.requests, req.policyRequest.ID)
 		delete(l.openCorrelationIDs, req.correlationID)
+		req.removeOwner()
 	}
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -23,15 +23,7 @@
 	if err != nil {
 		return fmt.Errorf("clients: %w", err)
 	}
-	return serve(ctx, c, listener, reload)
-}
-
-// serve does the same as Run on a listener that is already open, and closes the listener.
-func serve(ctx context.Context, config *Config, listener net.Listener, reload Reload) error {
-	s := newServer(config, listener)
-	s.start()
-	defer s.stop()
-	return s.run(ctx, reload)
+	return newServer(c, listener).serve(ctx, reload)
 }
 
 // server is a running gateway. It owns the goroutines of the components, and the method stop waits for them. The
@@ -55,12 +47,12 @@
 	stopWatch        func() // ends the watch and waits for its goroutine
 }
 
-// newServer creates and connects the components of a gateway. The method start runs them.
+// newServer creates and connects the components of a gateway. The method serve runs them, and closes the listener.
 func newServer(config *Config, listener net.Listener) *server {
 	s := &server{
 		config:   config,
 		log:      config.logger(),
-		frontend: &frontend{deployment: &config.Deployment},
+		frontend: newFrontend(config),
 		pools:    newConnectionPools(toDuration(config.ConnectTimeout), toDuration(config.IdleTimeout), config.maxBackendConns()),
 		serveErr: make(chan error, 1),
 	}
@@ -80,13 +72,21 @@
 	return s
 }
 
+// serve serves clients until ctx ends, then shuts down gracefully. It returns nil if every client has received its
+// answer.
+func (s *server) serve(ctx context.Context, reload Reload) error {
+	s.start()
+	defer s.stop()
+	return s.run(ctx, reload)
+}
+
 // start runs the components in goroutines, and starts the HTTP server last. The method stop waits for the goroutines.
 func (s *server) start() {
 	loop := s.frontend.loop
 	loop.applyEndpointList(s.config.CachedEndpoints, policy.CachedList)
 	s.components.Go(func() { loop.run(s.componentsContext) })
 	s.components.Go(func() { s.pools.sweepIdle(s.componentsContext) })
-	s.components.Go(func() { loop.metrics.logPeriodically(s.componentsContext, s.log) })
+	s.components.Go(func() { s.logCountsPeriodically(s.componentsContext) })
 	if s.counter != nil {
 		s.components.Go(func() { s.counter.run(s.componentsContext) })
 	}
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -91,7 +91,7 @@
 	}
 	s.logShutdownStep("exiting", requestedAt)
 	s.httpServer.Close()
-	s.log.Info("counts", "since_start", &s.frontend.loop.metrics)
+	s.logCounts()
 	if !allClosed {
 		return errClientsRemaining
 	}
--- a/internal/gateway/stallablegateway_test.go
+++ b/internal/gateway/stallablegateway_test.go
@@ -48,7 +48,8 @@
 		t.Fatal(err)
 	}
 	g.address = listener.Addr().String()
-	front := &frontend{loop: g.loop, deployment: &config.Deployment}
+	front := newFrontend(&config)
+	front.loop = g.loop
 	clients := newClientConnections(wrapListener(listener), maxStallableClients)
 	server := front.newHTTPServer(clients, testTimeout)
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/gateway/start_test.go
+++ b/internal/gateway/start_test.go
@@ -91,7 +91,7 @@
 			startedAt := time.Now()
 			go func() {
 				defer close(ended)
-				serve(ctx, &config, listener, Reload{})
+				newServer(&config, listener).serve(ctx, Reload{})
 			}()
 			t.Cleanup(func() {
 				stop()
