Bound the memory of requests over all connections, not by their number alone

Cause: the limit on client connections (limits.go, maxClientConns) allows for 24 KiB a connection, which is one without a request. readRequestBody then held up to 64 KiB and what io.ReadAll had grown to for each of them, and nothing counted that over all connections; the request was held on until its last attempt had ended.

Change: a request above 4 KiB, header and body, takes its memory from a budget of an eighth of the memory limit before its body is read, and gives it back when its handler and the event loop are done with it. Without free memory the body stays unread and the request waits in order, for half of its client's time and the read timeout at most; then 503, with Retry-After where allowed. The wait counts against the deadline that a backend is told. A body that holds memory and pauses for 0.25 s while another request waits gets 503, so that half-sent bodies don't keep the memory until the read timeout; only the goroutine that reads the connection gives it up, after a last look for bytes. Short requests need no memory of the budget. A body is allocated at its stated length, which the budget now covers, in place of growing copies.

Ruled out: fewer connections (clients may hold a third of the descriptors for requests: 341 of 1,024, and 48 MB bear 139 of 88 KiB); a lower heap limit for the collector (all of it is live); a refusal at once without a wait (a usual client's long request would fail as long as the bad ones stay).

--- a/cmd/amberlb/stop_test.go
+++ b/cmd/amberlb/stop_test.go
@@ -183,11 +183,17 @@
 // startHangingBackends starts backends that accept requests and never respond, and a discovery service that lists the
 // backends.
 func startHangingBackends(t *testing.T, clock soak.Clock) (backends []*soak.Backend, discoveryAddress string) {
+	t.Helper()
+	return startBackends(t, clock, soak.Behavior{Hang: true})
+}
+
+// startBackends starts backends with the same behavior for all requests, and a discovery service that lists the backends.
+func startBackends(t *testing.T, clock soak.Clock, behavior soak.Behavior) (backends []*soak.Backend, discoveryAddress string) {
 	t.Helper()
 	var list []gateway.EndpointEntry
-	hang := func(time.Duration) soak.Behavior { return soak.Behavior{Hang: true} }
+	behave := func(time.Duration) soak.Behavior { return behavior }
 	for i := range 12 {
-		b, err := soak.StartBackend(fmt.Sprintf("b-%d", i), clock, hang)
+		b, err := soak.StartBackend(fmt.Sprintf("b-%d", i), clock, behave)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -42,6 +42,9 @@
 	// the goroutine that serves the connection.
 	firstRequestDelay time.Duration
 
+	// bodyBudget is the budget from which the body that is being read has taken memory; nil at other times.
+	bodyBudget atomic.Pointer[memoryBudget]
+
 	// request is the open request, which is logged if a graceful shutdown leaves it unanswered; nil if no request is
 	// open.
 	request atomic.Pointer[clientRequest]
@@ -52,6 +55,7 @@
 	isNew        bool          // no request has been read from the connection yet
 	closing      bool          // the wait for a request ends at once, so that the server closes the connection
 	readDeadline time.Time     // read deadline set by the server or extended by markReading; zero: none
+	wakeAt       time.Time     // time at which a wait for bytes of a body is interrupted (see readBodyBytes); zero: none
 }
 
 // aLongTimeAgo is a deadline in the past, which ends a wait at once.
@@ -75,7 +79,7 @@
 		c.pipelined = c.pipelined[n:]
 		return n, nil
 	}
-	n, err := c.Conn.Read(p)
+	n, err := c.readBytes(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		n, err = c.readTimedOut(p, err)
 	}
@@ -85,6 +89,41 @@
 	return n, err
 }
 
+// readBytes reads bytes from the socket. While a body is read that holds memory of a budget, the wait for bytes ends
+// with a timeout as soon as it has lasted for maxBodyStall and another request waits for memory. Otherwise, clients that
+// stop in the middle of a body could keep the memory until their read timeout.
+func (c *clientConn) readBytes(p []byte) (int, error) {
+	for {
+		budget := c.bodyBudget.Load()
+		if budget != nil {
+			c.setWakeAt(time.Now().Add(maxBodyStall))
+		}
+		n, err := c.Conn.Read(p)
+		mayWaitOn := budget != nil && !budget.hasWaiters() && c.readDeadlineAhead()
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !mayWaitOn {
+			return n, err
+		}
+	}
+}
+
+// beginBody records that a body that has taken memory from budget is being read.
+func (c *clientConn) beginBody(budget *memoryBudget) { c.bodyBudget.Store(budget) }
+
+// endBody records that no body is being read any more.
+func (c *clientConn) endBody() {
+	if c.bodyBudget.Swap(nil) != nil {
+		c.setWakeAt(time.Time{})
+	}
+}
+
+// setWakeAt sets wakeAt, and applies it to the socket.
+func (c *clientConn) setWakeAt(t time.Time) {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	c.wakeAt = t
+	c.applyReadDeadline() // an error needs no handling: the next read fails as well
+}
+
 // readTimedOut reads once more, without blocking, in case bytes arrived as the wait timed out: closing a connection
 // with unread bytes would reset the connection. It returns io.EOF if the client has closed the connection or its
 // sending side. If no bytes have arrived and the connection is open, readTimedOut rejects a request that has been read
@@ -106,6 +145,7 @@
 // watchForClose buffers the bytes that arrive behind an open request, until a read fails or maxPipelinedBytes are
 // buffered, and returns the error. A read fails when the connection has ended or its read deadline has passed.
 func (c *clientConn) watchForClose(p []byte) error {
+	c.endBody() // the body has been read to its end, and wakeAt must not end the watch
 	n, err := c.Conn.Read(p)
 	c.pipelined = append(c.pipelined, p[:n]...)
 	for err == nil {
@@ -130,22 +170,50 @@
 	return c.applyReadDeadline()
 }
 
-// applyReadDeadline sets the read deadline of the socket to readDeadline, with two exceptions. A closing connection
-// gets a deadline in the past, whatever readDeadline is. A connection on which a request is being read gets readCutoff
-// if readCutoff is before readDeadline. The caller holds table.mu.
+// applyReadDeadline sets the read deadline of the socket to effectiveReadDeadline, or to wakeAt if that is earlier. The
+// caller holds table.mu.
 //
-// applyReadDeadline must be called after each change of closing, readCutoff or readDeadline. Apart from
+// applyReadDeadline must be called after each change of closing, readCutoff, readDeadline or wakeAt. Apart from
 // rejectIncomplete, nothing else may set the read deadline of the socket. While the server watches the client of an
-// open request for a disconnect, closing is false and readDeadline is zero, so the socket has no read deadline.
+// open request for a disconnect, closing is false and readDeadline and wakeAt are zero, so the socket has no read
+// deadline.
 func (c *clientConn) applyReadDeadline() error {
+	return c.Conn.SetReadDeadline(earlierDeadline(c.effectiveReadDeadline(), c.wakeAt))
+}
+
+// effectiveReadDeadline returns readDeadline, with two exceptions. A closing connection gets a deadline in the past,
+// whatever readDeadline is. A connection on which a request is being read gets readCutoff if readCutoff is before
+// readDeadline. The caller holds table.mu.
+func (c *clientConn) effectiveReadDeadline() time.Time {
 	readCutoff := c.table.readCutoff
 	switch {
 	case c.closing:
-		return c.Conn.SetReadDeadline(aLongTimeAgo)
+		return aLongTimeAgo
 	case c.phase.load() != phaseIdle && !readCutoff.IsZero() && readCutoff.Before(c.readDeadline):
-		return c.Conn.SetReadDeadline(readCutoff)
+		return readCutoff
+	}
+	return c.readDeadline
+}
+
+// readDeadlineBefore returns effectiveReadDeadline if it is before the given time, and the given time otherwise.
+func (c *clientConn) readDeadlineBefore(t time.Time) time.Time {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	return earlierDeadline(t, c.effectiveReadDeadline())
+}
+
+// readDeadlineAhead reports whether effectiveReadDeadline has not passed yet.
+func (c *clientConn) readDeadlineAhead() bool {
+	now := time.Now()
+	return !c.readDeadlineBefore(now).Before(now)
+}
+
+// earlierDeadline returns the earlier of two deadlines. A zero time means that there is no deadline.
+func earlierDeadline(a, b time.Time) time.Time {
+	if b.IsZero() || !a.IsZero() && a.Before(b) {
+		return a
 	}
-	return c.Conn.SetReadDeadline(c.readDeadline)
+	return b
 }
 
 // rejectIncomplete answers a request whose header is still incomplete when the gateway stops waiting for the rest. The
--- a/internal/gateway/decode.go
+++ b/internal/gateway/decode.go
@@ -3,10 +3,8 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"math"
 	"net/http"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -45,7 +43,6 @@
 // return without an error, the HTTP server watches for a disconnect of the client: the body has been read to its end,
 // and the read deadline, which would end the watch, has been cleared.
 func (f *frontend) decode(w http.ResponseWriter, r *http.Request) (*clientRequest, error) {
-	receivedAt := f.loop.clock.now()
 	if err := checkFraming(r); err != nil {
 		return nil, err
 	}
@@ -57,25 +54,20 @@
 	if err := checkAgainstClass(r, class.Idempotency); err != nil {
 		return nil, err
 	}
-	var body []byte
-	var memory reservation
-	if r.ContentLength != 0 {
-		memory = f.memory.take(r.ContentLength)
-		body, err = readRequestBody(w, r)
-		if err != nil {
-			memory.release()
-			return nil, err
-		}
-		receivedAt = f.loop.clock.now() // the client's timeout counts from the last byte of its request
+	// The class's deadline limits the client's timeout. Otherwise, while a backend hangs, a client with a timeout of an
+	// hour could keep its request open for that long, and delay a graceful shutdown.
+	timeout := min(policyRequest.Deadline, class.Deadline)
+	body, err := f.receiveBody(r, timeout)
+	if err != nil {
+		return nil, err
 	}
+	receivedAt := body.receivedAt // the client's timeout counts from the last byte of its request
 	if conn := clientConnOf(r); conn != nil {
 		receivedAt -= conn.takeFirstRequestDelay().Seconds()
 	}
 	http.NewResponseController(w).SetReadDeadline(time.Time{})
 	policyRequest.SentAt = receivedAt
-	// The class's deadline limits the client's timeout. Otherwise, while a backend hangs, a client with a timeout of an
-	// hour could keep its request open for that long, and delay a graceful shutdown.
-	policyRequest.Deadline = min(policyRequest.Deadline, class.Deadline) + receivedAt - responseMargin
+	policyRequest.Deadline = timeout + receivedAt - responseMargin
 	req := &clientRequest{
 		correlationID: r.Header.Get(correlationIDHeader),
 		policyRequest: policyRequest,
@@ -83,8 +75,8 @@
 		uri:           r.RequestURI,
 		host:          r.Host,
 		header:        forwardedHeaders(r.Header),
-		body:          body,
-		memory:        memory,
+		body:          body.bytes,
+		memory:        body.memory,
 		response:      make(chan clientResponse, 1),
 	}
 	req.addOwner()
@@ -128,28 +120,6 @@
 	return nil
 }
 
-// readRequestBody reads the whole body of a request with a Content-Length. Its error is a *requestError.
-func readRequestBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	body, err := readBody(http.MaxBytesReader(w, r.Body, maxBodyBytes), r.ContentLength)
-	if err != nil {
-		return nil, requestBodyError(err, clientConnOf(r))
-	}
-	io.Copy(io.Discard, r.Body) // up to EOF, because only then the server watches for a disconnect
-	return body, nil
-}
-
-// requestBodyError returns the requestError for a body that could not be read from conn because of err.
-func requestBodyError(err error, conn *clientConn) error {
-	var tooLong *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLong):
-		return &requestError{http.StatusRequestEntityTooLarge, errBodyTooLong}
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return &requestError{conn.table.incompleteStatus(conn), fmt.Errorf("body: %w", err)}
-	}
-	return badRequest("body: %w", err)
-}
-
 // decodeHeaders reads the headers that the policy engine needs. In its result, Deadline is the client's timeout in
 // seconds; decode turns the timeout into a clock time. Only retryHeader may be missing. A default for another header
 // might charge the request to the wrong customer, or allow a retry that the class forbids.
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -39,7 +39,7 @@
 	}
 	req, err := f.decode(w, r)
 	if err != nil {
-		f.rejectInvalid(w, err)
+		f.rejectUndecoded(w, err)
 		return
 	}
 	defer req.removeOwner()
@@ -72,19 +72,30 @@
 	io.WriteString(w, "ready\n")
 }
 
-// rejectInvalid answers a request that could not be decoded, and closes its connection: the next bytes on the
-// connection may still be a part of the invalid request.
-func (f *frontend) rejectInvalid(w http.ResponseWriter, err error) {
+// rejectUndecoded answers a request that could not be decoded, since it is invalid or for lack of memory. It closes the
+// connection, since the next bytes on the connection may still be a part of the request.
+func (f *frontend) rejectUndecoded(w http.ResponseWriter, err error) {
 	status := http.StatusBadRequest
 	var invalid *requestError
 	if errors.As(err, &invalid) {
 		status = invalid.status
 	}
-	f.loop.metrics.add(requestsInvalid)
+	if errors.Is(err, errMemoryExhausted) {
+		f.setRetryAfter(w)
+	} else {
+		f.loop.metrics.add(requestsInvalid)
+	}
 	w.Header().Set("Connection", "close")
 	http.Error(w, err.Error(), status)
 }
 
+// setRetryAfter makes a rejection for lack of capacity say when the client may retry, if the deployment allows it.
+func (f *frontend) setRetryAfter(w http.ResponseWriter) {
+	if f.deployment.CanSendRetryAfter && f.deployment.MaxRetryAfter > 0 {
+		w.Header().Set("Retry-After", formatRetryAfter(f.deployment.MaxRetryAfter))
+	}
+}
+
 // rejectLate rejects a request that arrives too late in a graceful shutdown: the request might still be open when the
 // process is killed.
 func (f *frontend) rejectLate(w http.ResponseWriter) {
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -4,9 +4,9 @@
 const (
 	reservedFDs       = 64       // file descriptors for the counter, discovery and the Go runtime
 	clientFDShare     = 0.75     // share of the other file descriptors that clients may use; backends get the rest
-	clientMemoryShare = 0.25     // share of the memory that idle client connections may use
-	clientConnBytes   = 24 << 10 // bytes of memory of an idle client connection: two buffers, a stack and table entries
-	requestShare      = 0.125    // share of the memory that the bytes of requests may use
+	clientMemoryShare = 0.25     // share of the memory that client connections may use
+	clientConnBytes   = 24 << 10 // bytes of memory of a connection: two buffers, stacks, table entries and a short request
+	requestShare      = 0.125    // share of the memory that requests above unreservedRequestBytes may use
 )
 
 // maxClientConns returns the number of client connections that the limits allow.
@@ -21,5 +21,5 @@
 	return c.Sockets - reservedFDs - c.maxClientConns()
 }
 
-// requestBytes returns the number of bytes of memory that requests may use.
+// requestBytes returns the number of bytes of memory that requests above unreservedRequestBytes may use.
 func (c *Config) requestBytes() int64 { return int64(requestShare * float64(c.MemoryMB<<20)) }
--- a/internal/gateway/memorybudget.go
+++ b/internal/gateway/memorybudget.go
@@ -1,41 +1,63 @@
 package gateway
 
 import (
+	"context"
+	"errors"
+	"fmt"
 	"log/slog"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sync/semaphore"
 )
 
 // memoryWarnInterval is the minimum time between two log lines about an exhausted budget.
 const memoryWarnInterval = 10 * time.Second
 
-// memoryBudget counts the memory of messages of one kind over all connections. Its methods are safe for concurrent use.
+// errMemoryExhausted is returned if a budget had no memory left in time.
+var errMemoryExhausted = errors.New("memory budget exhausted")
+
+// memoryBudget limits the memory of messages of one kind over all connections. The number of connections alone does not
+// limit it, since a message may be far larger than what a connection needs between two messages. Its methods are safe
+// for concurrent use.
 type memoryBudget struct {
 	kind     string // kind of the messages, for log lines
 	capacity int64  // bytes
 	log      *slog.Logger
 
-	held     atomic.Int64 // bytes taken and not released
-	peak     atomic.Int64 // highest value of held
-	warnedAt atomic.Int64 // Unix time in nanoseconds of the last log line; 0: none
+	free     *semaphore.Weighted // bytes that are not held
+	waiting  atomic.Int32        // number of calls of reserve that wait
+	held     atomic.Int64        // bytes reserved and not released
+	peak     atomic.Int64        // highest value of held
+	warnedAt atomic.Int64        // Unix time in nanoseconds of the last log line; 0: none
 }
 
 // newMemoryBudget returns a budget of capacity bytes.
 func newMemoryBudget(kind string, capacity int64, log *slog.Logger) *memoryBudget {
-	return &memoryBudget{kind: kind, capacity: capacity, log: log}
+	return &memoryBudget{kind: kind, capacity: capacity, log: log, free: semaphore.NewWeighted(capacity)}
 }
 
-// take takes bytes from the budget. The caller must release the reservation.
-func (b *memoryBudget) take(bytes int64) reservation {
+// reserve takes bytes from the budget, and waits for them until ctx ends. Calls that wait get their bytes in the order
+// of the calls. If ctx ends first, the error is errMemoryExhausted, which may be wrapped. The caller must release the
+// reservation.
+func (b *memoryBudget) reserve(ctx context.Context, bytes int64) (reservation, error) {
+	if !b.free.TryAcquire(bytes) {
+		b.waiting.Add(1)
+		defer b.waiting.Add(-1)
+		b.warn()
+		if err := b.free.Acquire(ctx, bytes); err != nil {
+			return reservation{}, fmt.Errorf("%s: %w", b.kind, errMemoryExhausted)
+		}
+	}
 	held := b.held.Add(bytes)
 	for peak := b.peak.Load(); held > peak && !b.peak.CompareAndSwap(peak, held); peak = b.peak.Load() {
 	}
-	if held > b.capacity {
-		b.warn()
-	}
-	return reservation{budget: b, bytes: bytes}
+	return reservation{budget: b, bytes: bytes}, nil
 }
 
+// hasWaiters reports whether a call of reserve waits.
+func (b *memoryBudget) hasWaiters() bool { return b.waiting.Load() > 0 }
+
 // warn logs that the budget is exhausted, at most once in memoryWarnInterval.
 func (b *memoryBudget) warn() {
 	now := time.Now().UnixNano()
@@ -51,7 +73,8 @@
 	return slog.GroupValue(
 		slog.Int64("capacity", b.capacity),
 		slog.Int64("held", b.held.Load()),
-		slog.Int64("peak", b.peak.Load()))
+		slog.Int64("peak", b.peak.Load()),
+		slog.Int64("waiting", int64(b.waiting.Load())))
 }
 
 // reservation is memory that was taken from a budget. The zero value holds nothing.
@@ -64,6 +87,7 @@
 func (r *reservation) release() {
 	if r.budget != nil {
 		r.budget.held.Add(-r.bytes)
+		r.budget.free.Release(r.bytes)
 		r.budget = nil
 	}
 }
--- a/internal/gateway/memorybudget_test.go
+++ b/internal/gateway/memorybudget_test.go
@@ -1,6 +1,10 @@
 package gateway
 
 import (
+	"bytes"
+	"context"
+	"errors"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -8,6 +12,41 @@
 	"testing"
 )
 
+// The log of a gateway that goes over its memory limit must show which memory it was: in use by objects, garbage, stacks
+// or the bytes of requests. All of it is logged when a budget is exhausted, since the process may be killed soon after.
+func TestExhaustedMemoryBudgetIsLoggedOnce(t *testing.T) {
+	var text bytes.Buffer
+	budget := newMemoryBudget("requests", 100, slog.New(slog.NewTextHandler(&text, nil)))
+	held, err := budget.reserve(context.Background(), 100)
+	if text.Len() > 0 || err != nil {
+		t.Errorf("logged %q, error %v before the budget was exhausted", text.String(), err)
+	}
+	ended, end := context.WithCancel(context.Background())
+	end()
+	for range 2 {
+		if _, err := budget.reserve(ended, 1); !errors.Is(err, errMemoryExhausted) {
+			t.Errorf("beyond the capacity: error %v, want errMemoryExhausted", err)
+		}
+	}
+	if lines := strings.Count(text.String(), "\n"); lines != 1 {
+		t.Errorf("%d log lines, want 1", lines)
+	}
+	for _, want := range []string{"budget=requests", "usage.capacity=100", "usage.held=100", "process.live=", "process.objects=",
+		"process.stacks=", "process.mapped=", "process.released=", "process.resident_anonymous="} {
+		if !strings.Contains(text.String(), want) {
+			t.Errorf("%q is not in the log line %q", want, text.String())
+		}
+	}
+	held.release()
+	held.release()
+	if held, peak := budget.held.Load(), budget.peak.Load(); held != 0 || peak != 100 {
+		t.Errorf("after the release %d bytes are held, want 0; the peak is %d, want 100", held, peak)
+	}
+	if _, err := budget.reserve(context.Background(), 100); err != nil {
+		t.Errorf("after the release: %v", err)
+	}
+}
+
 // longBody is a body that does not fit in the buffers of a connection.
 var longBody = strings.Repeat("x", 8<<10)
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -26,6 +26,8 @@
 	requestsServed               // requests answered with a backend's response
 	requestsInvalid              // requests that could not be decoded, answered 4xx or 5xx
 	requestsIncomplete           // requests whose header was not complete in time, answered 408 or 503
+	requestsOverMemory           // requests for which no memory became free in time, answered 503
+	requestsStalled              // requests whose body stopped arriving while others waited for memory, answered 503
 	requestsConflicting          // requests whose correlation id is in use, answered 409
 	requestsOverOpenLimit        // requests above the limit of open requests, answered 503
 	requestsWhileDraining        // requests that arrived too late in a graceful shutdown, answered 503
@@ -46,6 +48,8 @@
 	requestsServed:        "requests.served",
 	requestsInvalid:       "requests.invalid",
 	requestsIncomplete:    "requests.incomplete",
+	requestsOverMemory:    "requests.over_memory",
+	requestsStalled:       "requests.stalled",
 	requestsConflicting:   "requests.conflict",
 	requestsOverOpenLimit: "requests.over_open_limit",
 	requestsWhileDraining: "requests.while_draining",
--- /dev/null
+++ b/internal/gateway/requestbody.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+)
+
+const (
+	// unreservedRequestBytes is the size in bytes up to which a request needs no memory of the budget. clientConnBytes
+	// allows for it.
+	unreservedRequestBytes = 4 << 10
+	// maxMemoryWaitShare is the largest share of a client's timeout that its request waits for memory.
+	maxMemoryWaitShare = 0.5
+	// maxBodyStall is the longest wait for the next bytes of a body while another request waits for memory.
+	maxBodyStall = 250 * time.Millisecond
+)
+
+// errBodyStalled is returned for a body whose rest did not arrive while another request waited for memory.
+var errBodyStalled = errors.New("the rest of the body did not arrive in time")
+
+// receivedBody is the body of a client's request.
+type receivedBody struct {
+	bytes      []byte
+	memory     reservation // for the whole request
+	receivedAt float64     // earliest time at which the last byte can have arrived, in seconds of the loop's clock
+}
+
+// receiveBody reserves memory for a request, and then reads its body. The argument timeout is the client's timeout in
+// seconds. The error is a *requestError.
+func (f *frontend) receiveBody(r *http.Request, timeout float64) (receivedBody, error) {
+	startedAt := f.loop.clock.now()
+	memory, err := f.reserveMemory(r, timeout)
+	if err != nil {
+		f.loop.metrics.add(requestsOverMemory)
+		return receivedBody{}, &requestError{http.StatusServiceUnavailable, err}
+	}
+	waited := f.loop.clock.now() - startedAt
+	body, err := readRequestBody(r, memory.budget)
+	if err != nil {
+		memory.release()
+		return receivedBody{}, err
+	}
+	// The last byte may have arrived before the wait for memory.
+	return receivedBody{bytes: body, memory: memory, receivedAt: f.loop.clock.now() - waited}, nil
+}
+
+// reserveMemory reserves the memory that a request needs beyond unreservedRequestBytes. It waits until the read deadline
+// of the connection at most, and no longer than maxMemoryWaitShare of the client's timeout.
+func (f *frontend) reserveMemory(r *http.Request, timeout float64) (reservation, error) {
+	size := requestSize(r)
+	if size <= unreservedRequestBytes {
+		return reservation{}, nil
+	}
+	waitUntil := time.Now().Add(toDuration(timeout * maxMemoryWaitShare))
+	if conn := clientConnOf(r); conn != nil {
+		waitUntil = conn.readDeadlineBefore(waitUntil)
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), waitUntil)
+	defer cancel()
+	return f.memory.reserve(ctx, size)
+}
+
+// requestSize returns the number of bytes of a request's target, header and body.
+func requestSize(r *http.Request) int64 {
+	size := len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	return int64(size) + r.ContentLength
+}
+
+// readRequestBody reads the whole body of a request with a Content-Length, for which the memory has been reserved. The
+// budget is nil if the request needed no reservation. The error is a *requestError.
+func readRequestBody(r *http.Request, budget *memoryBudget) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	conn := clientConnOf(r)
+	if conn != nil && budget != nil {
+		conn.beginBody(budget)
+		defer conn.endBody()
+	}
+	body := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, body); err != nil {
+		return nil, requestBodyError(err, conn)
+	}
+	io.Copy(io.Discard, r.Body) // up to EOF, because only then the server watches for a disconnect
+	return body, nil
+}
+
+// requestBodyError returns the requestError for a body that could not be read from conn because of err.
+func requestBodyError(err error, conn *clientConn) error {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded) && conn.readDeadlineAhead():
+		conn.table.metrics.add(requestsStalled)
+		return &requestError{http.StatusServiceUnavailable, fmt.Errorf("%w: %w", errMemoryExhausted, errBodyStalled)}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &requestError{conn.table.incompleteStatus(conn), fmt.Errorf("body: %w", err)}
+	}
+	return badRequest("body: %w", err)
+}
--- a/internal/lab/proc/proc_test.go
+++ b/internal/lab/proc/proc_test.go
@@ -84,7 +84,7 @@
 		t.Fatal(err)
 	}
 	if usage.CPU < 90*time.Millisecond || usage.CPU > time.Minute || usage.PeakRSS < busyChildBytes || usage.PeakRSS > 64*busyChildBytes ||
-		usage.RSS > usage.PeakRSS {
+		usage.RSS > usage.PeakRSS || usage.AnonymousRSS < busyChildBytes || usage.AnonymousRSS > usage.RSS {
 		t.Errorf("%+v", usage)
 	}
 	if err := p.Stop(30 * time.Second); err == nil || !strings.Contains(err.Error(), "terminated") {
--- a/internal/lab/proc/usage.go
+++ b/internal/lab/proc/usage.go
@@ -14,9 +14,10 @@
 
 // Usage is the resource usage of a process.
 type Usage struct {
-	CPU     time.Duration // CPU time in user and system mode since the start, in steps of 10 ms
-	PeakRSS int64         // peak resident memory since the start, bytes
-	RSS     int64         // current resident memory, bytes
+	CPU          time.Duration // CPU time in user and system mode since the start, in steps of 10 ms
+	PeakRSS      int64         // peak resident memory since the start, bytes
+	RSS          int64         // current resident memory, bytes
+	AnonymousRSS int64         // part of RSS that is not backed by files, bytes
 }
 
 // ReadUsage reads the resource usage of a process. It returns an error if the process has exited.
@@ -47,6 +48,10 @@
 		return Usage{}, err
 	}
 	usage.RSS, err = parseMemory(status, "VmRSS:")
+	if err != nil {
+		return Usage{}, err
+	}
+	usage.AnonymousRSS, err = parseMemory(status, "RssAnon:")
 	return usage, err
 }
 
