Limit the customers whose state a gateway keeps by its memory limit

The docs gave the time as the bound.

A request of a further customer is rejected with reason "customers" and Retry-After where allowed, before any state is made. The slice of customers no longer refers to forgotten ones behind its end.

--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -6,6 +6,8 @@
 	clientFDShare     = 0.75     // share of the other file descriptors that clients may use; backends get the rest
 	clientMemoryShare = 0.25     // share of the memory that client connections may use
 	clientConnBytes   = 24 << 10 // bytes of memory of a connection: two buffers, stacks, table entries and a short request
+	customerShare     = 0.125    // share of the memory that the state of customers may use
+	customerBytes     = 1280     // bytes of memory of the state of a customer
 	requestShare      = 0.125    // share of the memory that requests above unreservedRequestBytes may use
 )
 
@@ -23,3 +25,8 @@
 
 // requestBytes returns the number of bytes of memory that requests above unreservedRequestBytes may use.
 func (c *Config) requestBytes() int64 { return int64(requestShare * float64(c.MemoryMB<<20)) }
+
+// maxCustomers returns the number of customers whose state the memory limit allows.
+func (c *Config) maxCustomers() int {
+	return int(customerShare * float64(c.MemoryMB<<20) / customerBytes)
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -59,7 +59,9 @@
 	if config.Settings.HasCounter {
 		s.counter = newCounterClient(config.Counter, toDuration(config.CounterTimeout))
 	}
-	loop := newEventLoop(config, s.pools, s.counter, func() { s.markReady("discovery") })
+	engineConfig := *config
+	engineConfig.Settings.MaxCustomers = config.maxCustomers()
+	loop := newEventLoop(&engineConfig, s.pools, s.counter, func() { s.markReady("discovery") })
 	s.frontend.loop = loop
 	s.componentsContext, s.stopComponents = context.WithCancel(context.Background())
 
--- a/policy/actions.go
+++ b/policy/actions.go
@@ -7,6 +7,7 @@
 const (
 	ReasonQuota       Reason = iota // the customer's quota has too few units left
 	ReasonConcurrency               // the customer's concurrency limit allows no attempts at this gateway
+	ReasonCustomers                 // the state of too many customers is kept already to add the request's customer
 	ReasonTooLate                   // the request arrived with too little time left to answer it
 	ReasonQueue                     // the expected wait in the queue is longer than the request's remaining time
 	ReasonNotSent                   // no attempt was started in time
@@ -18,6 +19,7 @@
 var reasonNames = [ReasonCount]string{
 	ReasonQuota:       "quota",
 	ReasonConcurrency: "concurrency",
+	ReasonCustomers:   "customers",
 	ReasonTooLate:     "too_late",
 	ReasonQueue:       "queue",
 	ReasonNotSent:     "not_sent",
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -2,10 +2,14 @@
 
 import "slices"
 
-// requestArrived registers a new request and tries to admit it. A request that has too little time left is
-// rejected or failed, as rejectOrFail describes. Timers ensure that a request that stays open is answered in
-// time.
+// requestArrived registers a new request and tries to admit it. A request that would add a customer beyond
+// the limit is rejected. A request that has too little time left is rejected or failed, as rejectOrFail
+// describes. Timers ensure that a request that stays open is answered in time.
 func (e *Engine) requestArrived(arrival Request) {
+	if !e.hasRoomFor(arrival.Customer) {
+		e.rejectForCustomers(arrival)
+		return
+	}
 	req := e.newRequest(arrival)
 	if req.answerBy < e.now+e.latency.mean/2 {
 		e.rejectOrFail(req, ReasonTooLate)
--- a/policy/customer.go
+++ b/policy/customer.go
@@ -29,7 +29,7 @@
 	backoff         backoff
 }
 
-// customerSet holds the customers that have sent requests, until they are idle (see isIdle).
+// customerSet holds the customers that have sent requests, until they are forgotten (see isForgettable).
 type customerSet struct {
 	byID    map[CustomerID]*customer
 	ordered []*customer // the customers of byID, in the order in which they were added
@@ -98,12 +98,13 @@
 // maintainCustomers expires leases and forgets idle customers. For customers that are not idle, it returns
 // unused units to the shared bucket and decides again on the waiting requests.
 func (e *Engine) maintainCustomers() {
+	replenishedIdleTimeout := e.replenishedIdleTimeout()
 	active := e.customers.ordered[:0]
 	for _, c := range e.customers.ordered {
 		if e.now >= c.lease.expiresAt {
 			c.expireLease()
 		}
-		if e.isIdle(c) {
+		if e.isForgettable(c, replenishedIdleTimeout) {
 			delete(e.customers.byID, c.id)
 			continue
 		}
@@ -113,12 +114,17 @@
 			e.admit(c)
 		}
 	}
+	clear(e.customers.ordered[len(active):]) // lets the forgotten customers be garbage collected
 	e.customers.ordered = active
 }
 
-// isIdle reports whether a customer can be forgotten: its last request arrived more than customerIdleTimeout
-// ago, and it has no open attempt, pending counter call or waiting request.
-func (e *Engine) isIdle(c *customer) bool {
-	return e.now-c.lastRequestAt > customerIdleTimeout &&
-		c.openAttempts == 0 && c.calls.pending == 0 && len(c.waiting) == 0
+// isForgettable reports whether a customer can be forgotten: it has no open attempt, pending counter call or
+// waiting request, and its last request arrived more than customerIdleTimeout ago, or more than the given
+// time ago if the customer is replenished.
+func (e *Engine) isForgettable(c *customer, replenishedIdleTimeout float64) bool {
+	idleFor := e.now - c.lastRequestAt
+	if idleFor <= replenishedIdleTimeout || c.openAttempts > 0 || c.calls.pending > 0 || len(c.waiting) > 0 {
+		return false
+	}
+	return idleFor > customerIdleTimeout || c.isReplenished(e.now)
 }
--- a/policy/quotaparameters.go
+++ b/policy/quotaparameters.go
@@ -55,6 +55,7 @@
 
 	localRate       float64 // units per second that the local tokens earn
 	localBurst      float64 // size of the bucket of local tokens in units
+	hasCeiling      bool    // the plan has a ceiling
 	admitsOverQuota bool    // local tokens also admit requests over quota (see applyCeiling)
 
 	concurrencyLimit int // attempts in flight over all gateways; 0: no limit
@@ -148,6 +149,7 @@
 // If requests over quota earn more than they cost, local tokens also admit requests over quota, at the lowest
 // level. This needs a ceiling, since nothing else limits the requests over quota.
 func (q *quotaParameters) applyCeiling(p *Plan) {
+	q.hasCeiling = true
 	q.rate = min(p.Rate, p.CeilingRate)
 	if q.smallGatewaySet {
 		q.divideCeilingForRefillingWindows(p)
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -108,6 +108,7 @@
 	CanSendRetryAfter bool    // rejections may carry a Retry-After
 	MaxRetryAfter     float64 // longest Retry-After that clients follow, in seconds
 	MaxAttempts       int     // limit on the attempts of a request, including the first; below 1 counts as 1
+	MaxCustomers      int     // limit on the customers whose state is kept; 0: no limit
 	MaxOpenRequests   int     // limit on the open requests of this gateway; 0: no limit
 	ConnectTimeout    float64 // seconds for which an attempt may wait for a connection
 
