Hold responses of backends within a memory budget of their own

Change: a response above 4 KiB, header and body, takes its memory from a budget of an eighth of the memory limit before its body is read, and gives it back when its request is done. Without free memory the rest stays in the socket until the attempt's deadline; the attempt then counts as timed out, since the backend has run it. The budget is not that of requests, since a request holds memory while its response waits for some. Bodies of a stated length are read into memory of that length; those in chunks count as 64 KiB.

Tests: the memory is released however the request ends (6 ways, and two for responses that come too late), and responses beyond the budget wait, short ones don't.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -9,11 +9,12 @@
 	"amberlb/policy"
 )
 
-// attemptResult is the result of an attempt. The header and body are set only if the outcome is policy.Served.
+// attemptResult is the result of an attempt. The header, body and memory are set only if the outcome is policy.Served.
 type attemptResult struct {
 	outcome policy.Outcome
 	header  http.Header
 	body    []byte
+	memory  reservation // for the header and the body
 }
 
 // attempt is one try to send a request to a backend and get the response. The event loop and the transport's goroutine
--- a/internal/gateway/backendconn.go
+++ b/internal/gateway/backendconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -15,6 +16,9 @@
 const (
 	maxResponseBytes    = 128 << 10 // bytes; maximum size of a response, with headers, framing and interim responses
 	maxInterimResponses = 8         // number of interim (1xx) responses after which no final response is read
+
+	// unreservedResponseBytes is the size in bytes up to which a response needs no memory of the budget.
+	unreservedResponseBytes = 4 << 10
 )
 
 // errTooManyInterimResponses is returned if the first maxInterimResponses responses to a request are all interim (1xx).
@@ -27,18 +31,20 @@
 	responseLimit *io.LimitedReader // reads from Conn and limits the size of a response
 	reader        *bufio.Reader     // reads from responseLimit
 	writer        *bufio.Writer     // writes to Conn
+	memory        *memoryBudget     // for the bytes of responses
 	endpoint      *endpoint         // endpoint to which the connection was dialed; constant
 	idleSince     time.Time         // start of the idle time; zero while an attempt uses the connection
 	idleFor       time.Duration     // idle time before the current use; 0 for a new connection
 }
 
-func newBackendConn(conn net.Conn, e *endpoint) *backendConn {
+func newBackendConn(conn net.Conn, e *endpoint, memory *memoryBudget) *backendConn {
 	responseLimit := &io.LimitedReader{R: conn}
 	return &backendConn{
 		Conn:          conn,
 		responseLimit: responseLimit,
 		reader:        bufio.NewReader(responseLimit),
 		writer:        bufio.NewWriter(conn),
+		memory:        memory,
 		endpoint:      e,
 	}
 }
@@ -55,42 +61,77 @@
 }
 
 // readResponse reads the complete response to a request that was sent with the given method. It also reports whether
-// the connection may be reused.
-func (c *backendConn) readResponse(method string) (result attemptResult, reusable bool) {
-	resp, body, err := c.readFinalResponse(&http.Request{Method: method})
+// the connection may be reused. If the result has memory, the caller must release it. readResponse waits for memory
+// until ctx ends.
+func (c *backendConn) readResponse(ctx context.Context, method string) (result attemptResult, reusable bool) {
+	resp, err := c.readFinalResponse(ctx, &http.Request{Method: method})
 	if err != nil {
 		return attemptResult{outcome: readErrorOutcome(err)}, false
 	}
 	reusable = !resp.Close && c.reader.Buffered() == 0
-	outcome := responseOutcome(resp)
+	outcome := responseOutcome(resp.Response)
 	if outcome != policy.Served {
+		resp.memory.release()
 		return attemptResult{outcome: outcome}, reusable
 	}
-	return attemptResult{outcome: outcome, header: resp.Header, body: body}, reusable
+	return attemptResult{outcome: outcome, header: resp.Header, body: resp.body, memory: resp.memory}, reusable
+}
+
+// receivedResponse is a complete response of a backend.
+type receivedResponse struct {
+	*http.Response
+	body   []byte
+	memory reservation // for the header and the body
 }
 
 // readFinalResponse skips interim (1xx) responses and reads the final response and its body.
-func (c *backendConn) readFinalResponse(request *http.Request) (*http.Response, []byte, error) {
+func (c *backendConn) readFinalResponse(ctx context.Context, request *http.Request) (receivedResponse, error) {
 	c.responseLimit.N = maxResponseBytes
 	for range maxInterimResponses {
 		resp, err := http.ReadResponse(c.reader, request)
 		if err != nil {
-			return nil, nil, err
+			return receivedResponse{}, err
 		}
-		if resp.StatusCode/100 == 1 {
-			continue
+		if resp.StatusCode/100 != 1 {
+			return c.receiveBody(ctx, resp)
 		}
-		if !hasDelimitedBody(resp) {
-			return nil, nil, errUndelimitedBody
-		}
-		body, err := readBody(resp.Body, resp.ContentLength)
-		resp.Body.Close()
-		if err != nil {
-			return nil, nil, err
-		}
-		return resp, body, nil
 	}
-	return nil, nil, errTooManyInterimResponses
+	return receivedResponse{}, errTooManyInterimResponses
+}
+
+// receiveBody reserves memory for a response, and then reads its body.
+func (c *backendConn) receiveBody(ctx context.Context, resp *http.Response) (receivedResponse, error) {
+	defer resp.Body.Close()
+	switch {
+	case !hasDelimitedBody(resp):
+		return receivedResponse{}, errUndelimitedBody
+	case resp.ContentLength > maxBodyBytes:
+		return receivedResponse{}, errBodyTooLong
+	}
+	memory, err := c.reserveMemory(ctx, resp)
+	if err != nil {
+		return receivedResponse{}, err
+	}
+	body, err := readBody(resp.Body, resp.ContentLength)
+	if err != nil {
+		memory.release()
+		return receivedResponse{}, err
+	}
+	return receivedResponse{resp, body, memory}, nil
+}
+
+// reserveMemory reserves the memory that a response needs beyond unreservedResponseBytes. A body without a stated length
+// counts as maxBodyBytes. While reserveMemory waits, the rest of the response stays in the socket.
+func (c *backendConn) reserveMemory(ctx context.Context, resp *http.Response) (reservation, error) {
+	bodyBytes := resp.ContentLength
+	if bodyBytes < 0 {
+		bodyBytes = maxBodyBytes
+	}
+	size := headerSize(resp.Header) + bodyBytes
+	if size <= unreservedResponseBytes {
+		return reservation{}, nil
+	}
+	return c.memory.reserve(ctx, size)
 }
 
 // noResponseYet reports whether no byte of a response has arrived since the last call of readResponse began. It may
@@ -117,7 +158,7 @@
 	switch {
 	case errors.Is(err, errTooManyInterimResponses):
 		return policy.Failed // the backend responds, but has sent no final response
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, errMemoryExhausted):
 		return policy.TimedOut
 	}
 	return policy.ConnectionReset
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -6,10 +6,8 @@
 	"net/http"
 )
 
-const (
-	maxBodyBytes        = 64 << 10 // bytes; limit on the body of a request or a response
-	maxPreallocatedBody = 4 << 10  // bytes; largest stated length for which memory is allocated in advance
-)
+// maxBodyBytes is the limit on the body of a request or a response, in bytes.
+const maxBodyBytes = 64 << 10
 
 var (
 	// errBodyTooLong is returned for a body of more than maxBodyBytes.
@@ -21,13 +19,12 @@
 
 // readBody reads a complete body of the stated length, or up to EOF if the length is negative. It returns
 // errBodyTooLong for a body of more than maxBodyBytes, and io.ErrUnexpectedEOF or io.EOF for a body that is shorter
-// than stated. The stated length is not trusted: for a stated length above maxPreallocatedBody, memory is allocated
-// only as bytes arrive.
+// than stated. It allocates memory for the whole body in advance if the length is stated.
 func readBody(r io.Reader, length int64) ([]byte, error) {
 	if length > maxBodyBytes {
 		return nil, errBodyTooLong
 	}
-	if length >= 0 && length <= maxPreallocatedBody {
+	if length >= 0 {
 		body := make([]byte, length)
 		_, err := io.ReadFull(r, body)
 		return body, err
@@ -36,9 +33,6 @@
 	if err == nil && len(body) > maxBodyBytes {
 		err = errBodyTooLong
 	}
-	if err == nil && length >= 0 && int64(len(body)) < length {
-		err = io.ErrUnexpectedEOF
-	}
 	return body, err
 }
 
--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -61,7 +61,7 @@
 	isNew        bool          // no request has been read from the connection yet
 	closing      bool          // the wait for a request ends at once, so that the server closes the connection
 	readDeadline time.Time     // read deadline set by the server or extended by markReading; zero: none
-	wakeAt       time.Time     // time at which a wait for bytes of a body is interrupted (see readBodyBytes); zero: none
+	wakeAt       time.Time     // time at which a wait for bytes of a body is interrupted (see readBytes); zero: none
 }
 
 // aLongTimeAgo is a deadline in the past, which ends a wait at once.
--- a/internal/gateway/clientconnections.go
+++ b/internal/gateway/clientconnections.go
@@ -3,7 +3,6 @@
 import (
 	"container/list"
 	"log/slog"
-	"math"
 	"net"
 	"sync"
 	"time"
@@ -48,7 +47,7 @@
 		Listener:  listener,
 		maxConns:  maxConns,
 		metrics:   &metrics{},
-		memory:    newMemoryBudget("requests", math.MaxInt64, slog.Default()),
+		memory:    newUnlimitedBudget(requestsKind),
 		log:       slog.Default(),
 		slotFreed: make(chan struct{}, 1),
 		conns:     map[*clientConn]struct{}{},
--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -17,8 +17,10 @@
 	header        http.Header // headers to forward to the backend
 	body          []byte
 
-	// memory is the memory that the request's bytes occupy. It is released by the last owner of the request.
-	memory reservation
+	// memory and responseMemory are the memory that the bytes of the request and of its answer occupy. They are released
+	// by the last owner of the request. The event loop sets responseMemory before it sends the answer.
+	memory         reservation
+	responseMemory reservation
 	// owners is the number of goroutines that use the request: its handler, and the event loop while the request is
 	// open.
 	owners atomic.Int32
@@ -44,5 +46,6 @@
 func (req *clientRequest) removeOwner() {
 	if req.owners.Add(-1) == 0 {
 		req.memory.release()
+		req.responseMemory.release()
 	}
 }
--- a/internal/gateway/connectionpool.go
+++ b/internal/gateway/connectionpool.go
@@ -35,6 +35,7 @@
 	idleLimit      time.Duration // idle time after which a connection is closed
 	maxConns       int           // maximum of openConns
 	idleEstimator  idleLimitEstimator
+	memory         *memoryBudget // for the bytes of responses
 
 	mu        sync.Mutex // guards the fields below, backendConn.idleSince, and endpoint's conns, idleConns and retired
 	endpoints map[policy.BackendID]*endpoint
@@ -43,12 +44,14 @@
 
 // newConnectionPools returns connectionPools without endpoints. backendIdleTimeout is the idle time after which a
 // backend closes a connection. The pools close a connection earlier, by idleTimeoutMargin or half of
-// backendIdleTimeout, whichever is shorter.
+// backendIdleTimeout, whichever is shorter. The memory for responses is unlimited; the caller may replace the field
+// memory before the first request.
 func newConnectionPools(connectTimeout, backendIdleTimeout time.Duration, maxConns int) *connectionPools {
 	return &connectionPools{
 		connectTimeout: connectTimeout,
 		idleLimit:      max(backendIdleTimeout-idleTimeoutMargin, backendIdleTimeout/2),
 		maxConns:       maxConns,
+		memory:         newUnlimitedBudget(responsesKind),
 		endpoints:      map[policy.BackendID]*endpoint{},
 	}
 }
@@ -158,7 +161,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newBackendConn(conn, e), nil
+	return newBackendConn(conn, e, p.memory), nil
 }
 
 // putIdle returns a connection to its pool, where other attempts can reuse it. If the connection's endpoint has been
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -44,7 +44,9 @@
 	l.transport.startAttempt(a, func(result attemptResult) {
 		defer l.attempts.Done()
 		a.cancelContext()
-		l.post(attemptDone{a, result})
+		if !l.post(attemptDone{a, result}) {
+			result.memory.release()
+		}
 	})
 }
 
@@ -81,6 +83,7 @@
 // the engine, and removes the request if the request is done (see removeIfDone).
 func (l *eventLoop) finishAttempt(a *attempt, result attemptResult) {
 	if a.ended {
+		result.memory.release()
 		return
 	}
 	a.ended = true
@@ -89,6 +92,8 @@
 	req.attemptsInFlight--
 	if result.outcome == policy.Served && req.unanswered {
 		l.respondServed(req, result)
+	} else {
+		result.memory.release()
 	}
 	l.handleEvent(policy.AttemptEnded{
 		Request:     req.policyRequest.ID,
@@ -104,6 +109,7 @@
 // respondServed forwards a backend's response to the client.
 func (l *eventLoop) respondServed(req *clientRequest, result attemptResult) {
 	l.metrics.add(requestsServed)
+	req.responseMemory = result.memory
 	header := forwardedHeaders(result.header)
 	header.Del(loadHeader) // the header is meant for gateways only
 	l.respond(req.policyRequest.ID, clientResponse{status: http.StatusOK, header: header, body: result.body})
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -72,8 +72,8 @@
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, text string) {
-		c := newBackendConn(readerConn{reader: strings.NewReader(text)}, nil)
-		result, reuse := c.readResponse(http.MethodGet)
+		c := newBackendConn(readerConn{reader: strings.NewReader(text)}, nil, newUnlimitedBudget(responsesKind))
+		result, reuse := c.readResponse(t.Context(), http.MethodGet)
 		if result.outcome == policy.Served && len(result.body) > maxBodyBytes ||
 			result.outcome == policy.ConnectionReset && reuse {
 			t.Errorf("outcome %d, %d bytes, reused %t", result.outcome, len(result.body), reuse)
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -83,3 +83,14 @@
 	}
 	return header
 }
+
+// headerSize returns the number of bytes of the names and values of a header.
+func headerSize(header http.Header) int64 {
+	size := 0
+	for name, values := range header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	return int64(size)
+}
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -9,6 +9,7 @@
 	customerShare     = 0.125    // share of the memory that the state of customers may use
 	customerBytes     = 1280     // bytes of memory of the state of a customer
 	requestShare      = 0.125    // share of the memory that requests above unreservedRequestBytes may use
+	responseShare     = 0.125    // share of the memory that responses above unreservedResponseBytes may use
 )
 
 // maxClientConns returns the number of client connections that the limits allow.
@@ -26,6 +27,9 @@
 // requestBytes returns the number of bytes of memory that requests above unreservedRequestBytes may use.
 func (c *Config) requestBytes() int64 { return int64(requestShare * float64(c.MemoryMB<<20)) }
 
+// responseBytes returns the number of bytes of memory that responses above unreservedResponseBytes may use.
+func (c *Config) responseBytes() int64 { return int64(responseShare * float64(c.MemoryMB<<20)) }
+
 // maxCustomers returns the number of customers whose state the memory limit allows.
 func (c *Config) maxCustomers() int {
 	return int(customerShare * float64(c.MemoryMB<<20) / customerBytes)
--- a/internal/gateway/memorybudget.go
+++ b/internal/gateway/memorybudget.go
@@ -5,12 +5,20 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/semaphore"
 )
 
+// Kinds of messages, each with a budget of its own. A request holds memory while it waits for memory of its response. If
+// both came from one budget, requests could use it up, and none of them would be answered.
+const (
+	requestsKind  = "requests"
+	responsesKind = "responses"
+)
+
 // memoryWarnInterval is the minimum time between two log lines about an exhausted budget.
 const memoryWarnInterval = 10 * time.Second
 
@@ -37,6 +45,11 @@
 	return &memoryBudget{kind: kind, capacity: capacity, log: log, free: semaphore.NewWeighted(capacity)}
 }
 
+// newUnlimitedBudget returns a budget that only counts the memory.
+func newUnlimitedBudget(kind string) *memoryBudget {
+	return newMemoryBudget(kind, math.MaxInt64, slog.Default())
+}
+
 // reserve takes bytes from the budget, and waits for them until ctx ends. Calls that wait get their bytes in the order
 // of the calls. If ctx ends first, the error is errMemoryExhausted, which may be wrapped. The caller must release the
 // reservation.
--- a/internal/gateway/memorybudget_test.go
+++ b/internal/gateway/memorybudget_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -50,11 +52,12 @@
 // longBody is a body that does not fit in the buffers of a connection.
 var longBody = strings.Repeat("x", 8<<10)
 
-// expectMemoryReleased waits until no memory is held for requests.
+// expectMemoryReleased waits until no memory is held for requests and responses.
 func (g *testGateway) expectMemoryReleased(t *testing.T) {
 	t.Helper()
-	budget := g.server.frontend.memory
-	awaitCondition(t, "memory of requests is still held", func() bool { return budget.held.Load() == 0 })
+	for _, budget := range []*memoryBudget{g.server.frontend.memory, g.server.pools.memory} {
+		awaitCondition(t, "memory of "+budget.kind+" is still held", func() bool { return budget.held.Load() == 0 })
+	}
 }
 
 // The memory of a request is released however the request ends. Memory that stayed taken would in time turn away all
@@ -165,3 +168,125 @@
 	await(t, answers, "answer")
 	g.expectMemoryReleased(t)
 }
+
+// The memory of a response is released however its request ends.
+func TestResponseMemoryIsReleased(t *testing.T) {
+	t.Parallel()
+	respond := func(conn net.Conn, status int, framing string) {
+		fmt.Fprintf(conn, "HTTP/1.1 %d %s\r\n%s\r\n\r\n", status, http.StatusText(status), framing)
+	}
+	stated := fmt.Sprintf("Content-Length: %d", len(longBody))
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(longBody), longBody)
+	for name, play := range map[string]func(t *testing.T, g *testGateway, backend *peer){
+		"served": func(t *testing.T, g *testGateway, backend *peer) {
+			_, answers := g.sendRequest(t, requestText("GET", "lookup", ""))
+			conn, _ := backend.acceptRequest(t)
+			respond(conn, http.StatusOK, stated)
+			io.WriteString(conn, longBody)
+			expectBody(t, answers, longBody)
+		},
+		"served in chunks": func(t *testing.T, g *testGateway, backend *peer) {
+			_, answers := g.sendRequest(t, requestText("GET", "lookup", ""))
+			conn, _ := backend.acceptRequest(t)
+			respond(conn, http.StatusOK, "Transfer-Encoding: chunked")
+			io.WriteString(conn, chunk+"0\r\n\r\n")
+			expectBody(t, answers, longBody)
+		},
+		"failed": func(t *testing.T, g *testGateway, backend *peer) {
+			_, answers := g.sendRequest(t, requestText("POST", "payment", "x"))
+			conn, _ := backend.acceptRequest(t)
+			respond(conn, http.StatusInternalServerError, stated)
+			io.WriteString(conn, longBody)
+			if resp := await(t, answers, "answer"); resp.StatusCode != http.StatusBadGateway {
+				t.Errorf("status %d", resp.StatusCode)
+			}
+		},
+		"reset": func(t *testing.T, g *testGateway, backend *peer) {
+			_, answers := g.sendRequest(t, requestText("POST", "payment", "x"))
+			conn, _ := backend.acceptRequest(t)
+			respond(conn, http.StatusOK, stated)
+			io.WriteString(conn, longBody[1:])
+			g.awaitResponseMemoryHeld(t)
+			conn.Close()
+			if resp := await(t, answers, "answer"); resp.StatusCode != http.StatusBadGateway {
+				t.Errorf("status %d", resp.StatusCode)
+			}
+		},
+		"the client disconnects before the end of the response": func(t *testing.T, g *testGateway, backend *peer) {
+			client, _ := g.sendRequest(t, requestText("GET", "lookup", ""))
+			conn, _ := backend.acceptRequest(t)
+			respond(conn, http.StatusOK, stated)
+			io.WriteString(conn, longBody[1:])
+			g.awaitResponseMemoryHeld(t)
+			client.Close()
+		},
+		"the request times out before the end of the response": func(t *testing.T, g *testGateway, backend *peer) {
+			_, answers := g.sendRequest(t, requestText("POST", "payment", "x", timeLeftHeader, "300"))
+			conn, _ := backend.acceptRequest(t)
+			respond(conn, http.StatusOK, stated)
+			io.WriteString(conn, longBody[1:])
+			g.awaitResponseMemoryHeld(t)
+			if resp := await(t, answers, "answer"); resp.StatusCode != http.StatusBadGateway {
+				t.Errorf("status %d", resp.StatusCode)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			backend := newPeer(t)
+			g := startTestGateway(t, backend)
+			play(t, g, backend)
+			g.expectMemoryReleased(t)
+			if peak := g.server.pools.memory.peak.Load(); peak < int64(len(longBody)) {
+				t.Errorf("at most %d bytes were held, want the %d of the body", peak, len(longBody))
+			}
+		})
+	}
+}
+
+// expectBody checks that an answer has status 200 and the given body.
+func expectBody(t *testing.T, answers <-chan *http.Response, want string) {
+	t.Helper()
+	resp := await(t, answers, "answer")
+	if body, err := io.ReadAll(resp.Body); resp.StatusCode != http.StatusOK || string(body) != want || err != nil {
+		t.Errorf("status %d, %d bytes, %v", resp.StatusCode, len(body), err)
+	}
+}
+
+// awaitResponseMemoryHeld waits until memory is held for a response.
+func (g *testGateway) awaitResponseMemoryHeld(t *testing.T) {
+	t.Helper()
+	budget := g.server.pools.memory
+	awaitCondition(t, "no memory is held for the response", func() bool { return budget.held.Load() > 0 })
+}
+
+// Long responses are held within their budget. A response for which no memory is free stays in the socket until another
+// one has been sent to its client, or until the attempt's deadline; a short response needs no memory of the budget.
+func TestResponsesAreBoundedByMemoryBudget(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	g := startTestGatewayWith(t, lowMemory, backend)
+	budget := g.server.pools.memory
+	held, err := budget.reserve(t.Context(), budget.capacity)
+	if err != nil {
+		t.Fatal(err)
+	}
+	send := func(timeout, body string) <-chan *http.Response {
+		_, answers := g.sendRequest(t, requestText("POST", "payment", "x", timeLeftHeader, timeout))
+		conn, _ := backend.acceptRequest(t)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		return answers
+	}
+	expectBody(t, send("15000", "short"), "short")
+	if resp := await(t, send("300", longBody), "answer"); resp.StatusCode != http.StatusBadGateway {
+		t.Errorf("a response that got no memory in time: status %d", resp.StatusCode)
+	}
+	answers := send("15000", longBody)
+	awaitCondition(t, "the response does not wait for memory", budget.hasWaiters)
+	held.release()
+	expectBody(t, answers, longBody)
+	if peak := budget.peak.Load(); peak > budget.capacity {
+		t.Errorf("%d bytes were held, with a budget of %d", peak, budget.capacity)
+	}
+	g.expectMemoryReleased(t)
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -112,5 +112,6 @@
 	s.log.Info("counts",
 		"since_start", &s.frontend.loop.metrics,
 		"memory", memoryUsage{},
-		"request_memory", s.frontend.memory)
+		"request_memory", s.frontend.memory,
+		"response_memory", s.pools.memory)
 }
--- a/internal/gateway/requestbody.go
+++ b/internal/gateway/requestbody.go
@@ -67,13 +67,7 @@
 
 // requestSize returns the number of bytes of a request's target, header and body.
 func requestSize(r *http.Request) int64 {
-	size := len(r.RequestURI)
-	for name, values := range r.Header {
-		for _, value := range values {
-			size += len(name) + len(value)
-		}
-	}
-	return int64(size) + r.ContentLength
+	return int64(len(r.RequestURI)) + headerSize(r.Header) + r.ContentLength
 }
 
 // readRequestBody reads the whole body of a request with a Content-Length, for which the memory has been reserved. The
@@ -87,8 +81,8 @@
 		conn.beginBody(budget)
 		defer conn.endBody()
 	}
-	body := make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, body); err != nil {
+	body, err := readBody(r.Body, r.ContentLength)
+	if err != nil {
 		return nil, requestBodyError(err, conn)
 	}
 	io.Copy(io.Discard, r.Body) // up to EOF, because only then the server watches for a disconnect
--- a/internal/gateway/roundtrip.go
+++ b/internal/gateway/roundtrip.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -29,7 +30,9 @@
 		return attemptResult{outcome: policy.ConnectFailed}
 	}
 	a.markWritten()
-	result, reusable := conn.readResponse(a.request.method)
+	ctx, cancel := context.WithDeadline(a.ctx, a.socketDeadline)
+	defer cancel()
+	result, reusable := conn.readResponse(ctx, a.request.method)
 	notCancelled := a.detach()
 	if notCancelled && conn.idleFor > 0 {
 		// A reset before any byte of the response may be due to the connection's long idle time.
--- a/internal/gateway/roundtrip_test.go
+++ b/internal/gateway/roundtrip_test.go
@@ -211,11 +211,18 @@
 			_, reader := backend.acceptRequest(t)
 			c.endAttempt(l, req)
 			answers := len(req.response)
-			served := attemptResult{outcome: policy.Served, header: http.Header{}, body: []byte("late")}
+			memory, err := p.memory.reserve(t.Context(), 4)
+			if err != nil {
+				t.Fatal(err)
+			}
+			served := attemptResult{outcome: policy.Served, header: http.Header{}, body: []byte("late"), memory: memory}
 			l.handleMessage(attemptDone{req.attempts[0], served})
 			if len(req.response) != answers || len(l.requests) != 0 || req.attemptsInFlight != 0 {
 				t.Errorf("%d answers, want %d; %d open requests", len(req.response), answers, len(l.requests))
 			}
+			if n := p.memory.held.Load(); n != 0 {
+				t.Errorf("%d bytes are held for the dropped response", n)
+			}
 			if _, err := reader.ReadByte(); err != io.EOF {
 				t.Errorf("read from the attempt's connection: %v, want EOF", err)
 			}
@@ -224,3 +231,33 @@
 		})
 	}
 }
+
+// The response to a request whose client has disconnected is dropped, and its memory released, if the attempt could not
+// be cancelled.
+func TestResponseForDisconnectedClientIsDropped(t *testing.T) {
+	config, err := parseConfig([]byte(configText("127.0.0.1:1", strings.Replace(testSettings, `"cancel": true`, `"cancel": false`, 1))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	backend := newPeer(t)
+	p := newConnectionPools(testTimeout, time.Minute, 8)
+	l := newEventLoop(&config, p, nil, func() {})
+	l.applyEndpointList(endpointListOf(true, "Ready", backend), policy.FullList)
+	req := newLoopRequest(l, "POST", "/payment", policy.Request{Class: 2})
+	l.startRequest(req)
+	conn, _ := backend.acceptRequest(t)
+	req.attempts[0].markWritten() // the backend has the whole request, but the transport may not have recorded it yet
+	l.handleMessage(clientDisconnected{req})
+	if req.attempts[0].ended {
+		t.Fatal("the attempt was cancelled")
+	}
+	respondOK(conn, longBody)
+	l.handleMessage(await(t, l.inbox, "end of the attempt"))
+	if n := p.memory.held.Load(); len(req.response) != 0 || len(l.requests) != 0 || n != 0 {
+		t.Errorf("%d answers, %d open requests, %d bytes held", len(req.response), len(l.requests), n)
+	}
+	if peak := p.memory.peak.Load(); peak < int64(len(longBody)) {
+		t.Errorf("at most %d bytes were held", peak)
+	}
+	l.attempts.Wait()
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -56,6 +56,7 @@
 		pools:    newConnectionPools(toDuration(config.ConnectTimeout), toDuration(config.IdleTimeout), config.maxBackendConns()),
 		serveErr: make(chan error, 1),
 	}
+	s.pools.memory = newMemoryBudget(responsesKind, config.responseBytes(), s.log)
 	if config.Settings.HasCounter {
 		s.counter = newCounterClient(config.Counter, toDuration(config.CounterTimeout))
 	}
