Limit the entries of an endpoint list, since short ones grow in memory

Seen in a trial of decodeEndpointList: a response of 4 MiB, the most that is read, with 1,398,068 entries "{}" allocates 779 MB and leaves 152 MB live; 838,840 entries "null" 497 and 96 MB. A malformed answer of discovery could so end any gateway of up to 192 MB.

Change: the entries are decoded one by one, and a list of more than 32,768 is invalid (4 MiB hold some 29,000 real ones). The next poll asks for the full list, as after any malformed one.

TestEndpointListIsBounded and a row of TestWatchResumesOrStartsOver fail with the limit taken out.

--- a/internal/gateway/discovery_test.go
+++ b/internal/gateway/discovery_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -99,6 +101,7 @@
 	received := make(chan EndpointList, 64)
 	runWatcher(t, newDiscoveryWatcher(discovery.address(), 2*time.Second, true, func(l EndpointList) { received <- l }))
 	empty := []EndpointEntry{}
+	tooManyEntries := `{"instances": [{}` + strings.Repeat(",{}", maxListEntries) + "]}"
 
 	// Each step has the expected query of a poll and the response to the poll. wantReset is true if onList must get a
 	// full list. noList is true if onList must not be called.
@@ -119,6 +122,8 @@
 		{"malformed JSON", "since=50&timeout_ms=1000", "{", false, true},
 		{"missing list, not to be treated as empty", "", "{}", false, true},
 		{"array instead of an object", "", "[]", false, true},
+		{"object instead of an array", "", `{"instances": {}}`, false, true},
+		{"too many entries", "", tooManyEntries, false, true},
 		{"full list after invalid responses", "", EndpointList{Generation: 51, Reset: true, Entries: empty}, true, false},
 	} {
 		if got := await(t, discovery.queries, "poll"); got != step.wantQuery {
@@ -135,6 +140,24 @@
 	}
 }
 
+// A response of a few megabytes must not decode to far more memory, as short entries would. The largest list allowed is
+// decoded.
+func TestEndpointListIsBounded(t *testing.T) {
+	for _, entry := range []string{"{}", "null"} {
+		text := func(n int) []byte { return []byte(`{"instances": [` + entry + strings.Repeat(","+entry, n-1) + "]}") }
+		if list, err := decodeEndpointList(text(maxListEntries), true); err != nil || len(list.Entries) != maxListEntries {
+			t.Errorf("%d entries %s: %d were decoded, %v", maxListEntries, entry, len(list.Entries), err)
+		}
+		oversized := text(maxListBytes / (len(entry) + 1))
+		if _, err := decodeEndpointList(oversized, true); !errors.Is(err, errTooManyEntries) {
+			t.Errorf("%d bytes of entries %s: error %v, want errTooManyEntries", len(oversized), entry, err)
+		}
+	}
+	if list, err := decodeEndpointList([]byte(`{"instances": null}`), false); err != nil || list.Entries != nil {
+		t.Errorf("no entries: %v, %v", list.Entries, err)
+	}
+}
+
 func TestEndpointEntryToBackend(t *testing.T) {
 	deployment := &wire.Deployment{Zones: []string{"a", "b"}, Kinds: []string{"m1", "m2"}}
 	backend, err := EndpointEntry{ID: "s-1", Zone: "b", MachineType: "m2", Cell: 3, Lifecycle: "Terminating", Weight: 1.5,
--- a/internal/gateway/discoverylist.go
+++ b/internal/gateway/discoverylist.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -18,9 +19,12 @@
 type EndpointList struct {
 	Generation int64           `json:"generation"` // version number of the list; parameter "since" of the next watch
 	Reset      bool            `json:"reset"`      // Entries is the full list; if false, Entries holds only the changes
-	Entries    []EndpointEntry `json:"instances"`  // nil if the response has no array; not nil for an empty array
+	Entries    EndpointEntries `json:"instances"`  // nil if the response has no array; not nil for an empty array
 }
 
+// EndpointEntries are the entries of an EndpointList. In JSON they are an array of at most maxListEntries.
+type EndpointEntries []EndpointEntry
+
 // EndpointEntry describes one backend, as discovery represents it.
 type EndpointEntry struct {
 	ID          string  `json:"instanceId"`
@@ -44,6 +48,42 @@
 // treated as an empty list, the gateway would remove all its backends.
 var errNoEntries = errors.New("no instances in the response")
 
+// maxListEntries is the maximum number of entries of a list. The limit on the bytes of a response does not limit the
+// memory of its entries, since an entry can be far shorter in JSON than in memory.
+const maxListEntries = 1 << 15
+
+var (
+	// errTooManyEntries is returned for a list of more than maxListEntries.
+	errTooManyEntries = errors.New("too many instances in the response")
+	// errNoArray is returned if the entries of a list are neither an array nor null.
+	errNoArray = errors.New("the instances are not an array")
+)
+
+// UnmarshalJSON decodes an array entry by entry, and stops with errTooManyEntries after maxListEntries.
+func (e *EndpointEntries) UnmarshalJSON(text []byte) error {
+	*e = nil
+	if string(text) == "null" {
+		return nil
+	}
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	if start, _ := decoder.Token(); start != json.Delim('[') { // the text is valid JSON, so there is no error
+		return errNoArray
+	}
+	entries := EndpointEntries{}
+	for decoder.More() {
+		if len(entries) == maxListEntries {
+			return errTooManyEntries
+		}
+		var entry EndpointEntry
+		if err := decoder.Decode(&entry); err != nil {
+			return err
+		}
+		entries = append(entries, entry)
+	}
+	*e = entries
+	return nil
+}
+
 // decodeEndpointList decodes the body of a response. If the poll asked for the full list (fullList), Reset is set in
 // the result even if the response doesn't set it.
 func decodeEndpointList(body []byte, fullList bool) (EndpointList, error) {
