Limit backend connections by memory, and let all shares fit on the heap

At 32 MB and 1,024 descriptors 619 connections with buffers of 9 to 10 KiB may stay idle, 6 MB of a heap limit of 22.4; with more descriptors any limit is passed. And the shares of what is limited now (0.25 for client connections, an eighth each for requests, responses and customers, and the backends' connections) could add up to more than the heap's 0.7, which stood in another package.

All shares and the heap's stand in limits.go; Config.HeapLimit gives the heap's to the command. TestMemorySharesFitOnHeap checks their sum, and what they allow at 16 to 192 MB and 128 to 65,536 descriptors; with the limit by memory taken out of maxBackendConns it fails.

--- a/cmd/amberlb/main.go
+++ b/cmd/amberlb/main.go
@@ -24,11 +24,8 @@
 // configPathKey is the name of the environment variable that holds the path of the configuration file.
 const configPathKey = "EDGE_CONFIG"
 
-// Settings of the Go runtime.
-const (
-	heapLimitShare = 0.7 // share of the memory limit for the Go heap; stacks, sockets and the binary need the rest
-	gcPercent      = 400 // heap growth in percent between collections; high, since the heap is small compared to the limit
-)
+// gcPercent is the heap growth in percent between collections. It is high, since the heap is small compared to the limit.
+const gcPercent = 400
 
 // logFlushTimeout is the longest time to wait for queued log lines to be written before the process exits.
 const logFlushTimeout = 100 * time.Millisecond
@@ -71,6 +68,6 @@
 // limitRuntime applies the configuration's limits on processor cores and memory to the Go runtime.
 func limitRuntime(config *gateway.Config) {
 	runtime.GOMAXPROCS(int(math.Ceil(config.Cores)))
-	debug.SetMemoryLimit(int64(float64(config.MemoryMB<<20) * heapLimitShare))
+	debug.SetMemoryLimit(config.HeapLimit())
 	debug.SetGCPercent(gcPercent)
 }
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -14,6 +14,33 @@
 	"amberlb/policy"
 )
 
+// All that the memory shares limit must fit on the heap together, at any memory limit. The lowest limit still allows work:
+// connections on both sides, and one request and one response of the largest size.
+func TestMemorySharesFitOnHeap(t *testing.T) {
+	const sum = clientMemoryShare + backendMemoryShare + customerShare + requestShare + responseShare
+	if sum > heapShare {
+		t.Errorf("the shares add up to %g, more than the %g of the heap", sum, heapShare)
+	}
+	for _, memoryMB := range []int{minMemoryMB, 32, 48, 192} {
+		for _, sockets := range []int{minSockets, 1024, 1 << 16} {
+			c := Config{MemoryMB: memoryMB, Sockets: sockets}
+			used := int64(c.maxClientConns())*clientConnBytes + int64(c.maxBackendConns())*backendConnBytes +
+				int64(c.maxCustomers())*customerBytes + c.requestBytes() + c.responseBytes()
+			if used > c.HeapLimit() {
+				t.Errorf("%d MB, %d sockets: %d bytes may be used, more than the heap's %d", memoryMB, sockets, used, c.HeapLimit())
+			}
+			if descriptors := c.maxClientConns() + c.maxBackendConns() + reservedFDs; descriptors > sockets {
+				t.Errorf("%d MB, %d sockets: %d descriptors may be used", memoryMB, sockets, descriptors)
+			}
+			largest := int64(maxHeaderBytes + maxBodyBytes)
+			if c.maxClientConns() < 1 || c.maxBackendConns() < 1 || c.maxCustomers() < 1 || c.requestBytes() < largest ||
+				c.responseBytes() < maxResponseBytes {
+				t.Errorf("%d MB, %d sockets: no room for work", memoryMB, sockets)
+			}
+		}
+	}
+}
+
 // Requests of ever new customers must not make a gateway keep ever more state. Beyond the number of customers that its
 // memory limit allows, they are rejected, and those of known customers are not.
 func TestMemoryLimitBoundsCustomers(t *testing.T) {
