--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"container/list"
 	"errors"
 	"fmt"
@@ -14,12 +13,6 @@
 	"time"
 )
 
-// Limits on the bytes behind an open request.
-const (
-	maxPipelinedBytes        = 16 << 10 // number of bytes at which the client is treated as disconnected
-	unreservedPipelinedBytes = 4 << 10  // number of bytes that need no memory of a budget; clientConnBytes allows for them
-)
-
 // Limits on reading from a connection after its incomplete request has been rejected.
 const (
 	lingerTime     = 250 * time.Millisecond
@@ -64,11 +57,6 @@
 	wakeAt       time.Time     // time at which a wait for bytes of a body is interrupted (see readBytes); zero: none
 }
 
-// aLongTimeAgo is a deadline in the past, which ends a wait at once.
-var aLongTimeAgo = time.Unix(1, 0)
-
-var errPipelineTooLong = errors.New("too many bytes behind an open request")
-
 // Read reads bytes from the client. It records when a request begins to arrive, and buffers the bytes that arrive
 // behind an open request.
 //
@@ -93,41 +81,6 @@
 	return n, err
 }
 
-// readBytes reads bytes from the socket. While a body is read that holds memory of a budget, the wait for bytes ends
-// with a timeout as soon as it has lasted for maxBodyStall and another request waits for memory. Otherwise, clients that
-// stop in the middle of a body could keep the memory until their read timeout.
-func (c *clientConn) readBytes(p []byte) (int, error) {
-	for {
-		budget := c.bodyBudget.Load()
-		if budget != nil {
-			c.setWakeAt(time.Now().Add(maxBodyStall))
-		}
-		n, err := c.Conn.Read(p)
-		mayWaitOn := budget != nil && !budget.hasWaiters() && c.readDeadlineAhead()
-		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !mayWaitOn {
-			return n, err
-		}
-	}
-}
-
-// beginBody records that a body that has taken memory from budget is being read.
-func (c *clientConn) beginBody(budget *memoryBudget) { c.bodyBudget.Store(budget) }
-
-// endBody records that no body is being read any more.
-func (c *clientConn) endBody() {
-	if c.bodyBudget.Swap(nil) != nil {
-		c.setWakeAt(time.Time{})
-	}
-}
-
-// setWakeAt sets wakeAt, and applies it to the socket.
-func (c *clientConn) setWakeAt(t time.Time) {
-	c.table.mu.Lock()
-	defer c.table.mu.Unlock()
-	c.wakeAt = t
-	c.applyReadDeadline() // an error needs no handling: the next read fails as well
-}
-
 // readTimedOut reads once more, without blocking, in case bytes arrived as the wait timed out: closing a connection
 // with unread bytes would reset the connection. It returns io.EOF if the client has closed the connection or its
 // sending side. If no bytes have arrived and the connection is open, readTimedOut rejects a request that has been read
@@ -146,131 +99,6 @@
 	return n, err
 }
 
-// readPipelined reads from the bytes that were received behind the last request, and frees their memory after the last
-// byte.
-func (c *clientConn) readPipelined(p []byte) int {
-	n := copy(p, c.pipelined)
-	c.pipelined = c.pipelined[n:]
-	if len(c.pipelined) == 0 {
-		c.freePipelined()
-	}
-	return n
-}
-
-// freePipelined frees the memory of the bytes that were received behind the last request.
-func (c *clientConn) freePipelined() {
-	c.pipelined = nil
-	c.pipelinedMemory.release()
-}
-
-// growPipelined makes room for further bytes behind an open request. It returns errPipelineTooLong if there are
-// maxPipelinedBytes, or if no memory is free for more than unreservedPipelinedBytes.
-func (c *clientConn) growPipelined() error {
-	if len(c.pipelined) < cap(c.pipelined) {
-		return nil
-	}
-	capacity := unreservedPipelinedBytes
-	if len(c.pipelined) >= unreservedPipelinedBytes {
-		capacity = maxPipelinedBytes
-	}
-	if len(c.pipelined) >= capacity {
-		return errPipelineTooLong
-	}
-	if capacity > unreservedPipelinedBytes {
-		c.pipelinedMemory.release()
-		memory, free := c.table.memory.tryReserve(int64(capacity))
-		if !free {
-			return errPipelineTooLong
-		}
-		c.pipelinedMemory = memory
-	}
-	c.pipelined = append(make([]byte, 0, capacity), c.pipelined...)
-	return nil
-}
-
-// watchForClose buffers the bytes that arrive behind an open request, until a read fails or there is no room for further
-// bytes, and returns the error. A read fails when the connection has ended or its read deadline has passed.
-func (c *clientConn) watchForClose(p []byte) error {
-	c.endBody() // the body has been read to its end, and wakeAt must not end the watch
-	if _, err := c.Conn.Read(p); err != nil {
-		return err
-	}
-	if err := c.addPipelined(bytes.NewReader(p)); err != nil {
-		return err
-	}
-	for {
-		if err := c.addPipelined(c.Conn); err != nil {
-			return err
-		}
-	}
-}
-
-// addPipelined reads once from source, and adds the bytes to those that were received behind an open request.
-func (c *clientConn) addPipelined(source io.Reader) error {
-	if err := c.growPipelined(); err != nil {
-		c.table.metrics.add(connectionsFlooded)
-		return err
-	}
-	n, err := source.Read(c.pipelined[len(c.pipelined):cap(c.pipelined)])
-	c.pipelined = c.pipelined[:len(c.pipelined)+n]
-	return err
-}
-
-// SetReadDeadline stores the read deadline that the HTTP server sets, and applies it to the socket. The deadline of the
-// socket may be earlier; see applyReadDeadline.
-func (c *clientConn) SetReadDeadline(t time.Time) error {
-	c.table.mu.Lock()
-	defer c.table.mu.Unlock()
-	c.readDeadline = t
-	return c.applyReadDeadline()
-}
-
-// applyReadDeadline sets the read deadline of the socket to effectiveReadDeadline, or to wakeAt if that is earlier. The
-// caller holds table.mu.
-//
-// applyReadDeadline must be called after each change of closing, readCutoff, readDeadline or wakeAt. Apart from
-// rejectIncomplete, nothing else may set the read deadline of the socket. While the server watches the client of an
-// open request for a disconnect, closing is false and readDeadline and wakeAt are zero, so the socket has no read
-// deadline.
-func (c *clientConn) applyReadDeadline() error {
-	return c.Conn.SetReadDeadline(earlierDeadline(c.effectiveReadDeadline(), c.wakeAt))
-}
-
-// effectiveReadDeadline returns readDeadline, with two exceptions. A closing connection gets a deadline in the past,
-// whatever readDeadline is. A connection on which a request is being read gets readCutoff if readCutoff is before
-// readDeadline. The caller holds table.mu.
-func (c *clientConn) effectiveReadDeadline() time.Time {
-	readCutoff := c.table.readCutoff
-	switch {
-	case c.closing:
-		return aLongTimeAgo
-	case c.phase.load() != phaseIdle && !readCutoff.IsZero() && readCutoff.Before(c.readDeadline):
-		return readCutoff
-	}
-	return c.readDeadline
-}
-
-// readDeadlineBefore returns effectiveReadDeadline if it is before the given time, and the given time otherwise.
-func (c *clientConn) readDeadlineBefore(t time.Time) time.Time {
-	c.table.mu.Lock()
-	defer c.table.mu.Unlock()
-	return earlierDeadline(t, c.effectiveReadDeadline())
-}
-
-// readDeadlineAhead reports whether effectiveReadDeadline has not passed yet.
-func (c *clientConn) readDeadlineAhead() bool {
-	now := time.Now()
-	return !c.readDeadlineBefore(now).Before(now)
-}
-
-// earlierDeadline returns the earlier of two deadlines. A zero time means that there is no deadline.
-func earlierDeadline(a, b time.Time) time.Time {
-	if b.IsZero() || !a.IsZero() && a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // rejectIncomplete answers a request whose header is still incomplete when the gateway stops waiting for the rest. The
 // HTTP server would close the connection without an answer. A client that has just sent the last byte could not
 // distinguish that close from the loss of its request. After the answer, rejectIncomplete reads and discards bytes
--- /dev/null
+++ b/internal/gateway/readdeadline.go
@@ -0,0 +1,100 @@
+package gateway
+
+import (
+	"errors"
+	"os"
+	"time"
+)
+
+// aLongTimeAgo is a deadline in the past, which ends a wait at once.
+var aLongTimeAgo = time.Unix(1, 0)
+
+// readBytes reads bytes from the socket. While a body is read that holds memory of a budget, the wait for bytes ends
+// with a timeout as soon as it has lasted for maxBodyStall and another request waits for memory. Otherwise, clients that
+// stop in the middle of a body could keep the memory until their read timeout.
+func (c *clientConn) readBytes(p []byte) (int, error) {
+	for {
+		budget := c.bodyBudget.Load()
+		if budget != nil {
+			c.setWakeAt(time.Now().Add(maxBodyStall))
+		}
+		n, err := c.Conn.Read(p)
+		mayWaitOn := budget != nil && !budget.hasWaiters() && c.readDeadlineAhead()
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !mayWaitOn {
+			return n, err
+		}
+	}
+}
+
+// beginBody records that a body that has taken memory from budget is being read.
+func (c *clientConn) beginBody(budget *memoryBudget) { c.bodyBudget.Store(budget) }
+
+// endBody records that no body is being read any more.
+func (c *clientConn) endBody() {
+	if c.bodyBudget.Swap(nil) != nil {
+		c.setWakeAt(time.Time{})
+	}
+}
+
+// setWakeAt sets wakeAt, and applies it to the socket.
+func (c *clientConn) setWakeAt(t time.Time) {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	c.wakeAt = t
+	c.applyReadDeadline() // an error needs no handling: the next read fails as well
+}
+
+// SetReadDeadline stores the read deadline that the HTTP server sets, and applies it to the socket. The deadline of the
+// socket may be earlier; see applyReadDeadline.
+func (c *clientConn) SetReadDeadline(t time.Time) error {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	c.readDeadline = t
+	return c.applyReadDeadline()
+}
+
+// applyReadDeadline sets the read deadline of the socket to effectiveReadDeadline, or to wakeAt if that is earlier. The
+// caller holds table.mu.
+//
+// applyReadDeadline must be called after each change of closing, readCutoff, readDeadline or wakeAt. Apart from
+// rejectIncomplete, nothing else may set the read deadline of the socket. While the server watches the client of an
+// open request for a disconnect, closing is false and readDeadline and wakeAt are zero, so the socket has no read
+// deadline.
+func (c *clientConn) applyReadDeadline() error {
+	return c.Conn.SetReadDeadline(earlierDeadline(c.effectiveReadDeadline(), c.wakeAt))
+}
+
+// effectiveReadDeadline returns readDeadline, with two exceptions. A closing connection gets a deadline in the past,
+// whatever readDeadline is. A connection on which a request is being read gets readCutoff if readCutoff is before
+// readDeadline. The caller holds table.mu.
+func (c *clientConn) effectiveReadDeadline() time.Time {
+	readCutoff := c.table.readCutoff
+	switch {
+	case c.closing:
+		return aLongTimeAgo
+	case c.phase.load() != phaseIdle && !readCutoff.IsZero() && readCutoff.Before(c.readDeadline):
+		return readCutoff
+	}
+	return c.readDeadline
+}
+
+// readDeadlineBefore returns effectiveReadDeadline if it is before the given time, and the given time otherwise.
+func (c *clientConn) readDeadlineBefore(t time.Time) time.Time {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	return earlierDeadline(t, c.effectiveReadDeadline())
+}
+
+// readDeadlineAhead reports whether effectiveReadDeadline has not passed yet.
+func (c *clientConn) readDeadlineAhead() bool {
+	now := time.Now()
+	return !c.readDeadlineBefore(now).Before(now)
+}
+
+// earlierDeadline returns the earlier of two deadlines. A zero time means that there is no deadline.
+func earlierDeadline(a, b time.Time) time.Time {
+	if b.IsZero() || !a.IsZero() && a.Before(b) {
+		return a
+	}
+	return b
+}
