Share the steps of the tests on memory budgets

Two loops over ways to end a request and five steps that take or await memory stood twice. Every check stays; the two loops' checks of the peak and five error checks of reserve are one each now.

--- a/internal/gateway/memorybudget_test.go
+++ b/internal/gateway/memorybudget_test.go
@@ -55,11 +55,53 @@
 // expectMemoryReleased waits until no memory is held for requests and responses.
 func (g *testGateway) expectMemoryReleased(t *testing.T) {
 	t.Helper()
-	for _, budget := range []*memoryBudget{g.server.frontend.memory, g.server.pools.memory} {
+	for _, budget := range []*memoryBudget{g.requestMemory(), g.responseMemory()} {
 		awaitCondition(t, "memory of "+budget.kind+" is still held", func() bool { return budget.held.Load() == 0 })
 	}
 }
 
+// memoryUse plays a request that uses memory, with the gateway and its only backend.
+type memoryUse func(t *testing.T, g *testGateway, backend *peer)
+
+// testMemoryRelease checks that each use takes the memory of longBody from a budget, and that all memory is released.
+func testMemoryRelease(t *testing.T, budget func(*testGateway) *memoryBudget, uses map[string]memoryUse) {
+	t.Helper()
+	for name, use := range uses {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			backend := newPeer(t)
+			g := startTestGateway(t, backend)
+			use(t, g, backend)
+			g.expectMemoryReleased(t)
+			if peak := budget(g).peak.Load(); peak < int64(len(longBody)) {
+				t.Errorf("at most %d bytes were held, want the %d of the body", peak, len(longBody))
+			}
+		})
+	}
+}
+
+// requestMemory returns the budget of requests.
+func (g *testGateway) requestMemory() *memoryBudget { return g.server.frontend.memory }
+
+// responseMemory returns the budget of responses.
+func (g *testGateway) responseMemory() *memoryBudget { return g.server.pools.memory }
+
+// awaitHeld waits until memory of a budget is held.
+func (b *memoryBudget) awaitHeld(t *testing.T) {
+	t.Helper()
+	awaitCondition(t, "no memory of "+b.kind+" is held", func() bool { return b.held.Load() > 0 })
+}
+
+// exhaust takes all memory of a budget.
+func (b *memoryBudget) exhaust(t *testing.T) reservation {
+	t.Helper()
+	held, err := b.reserve(t.Context(), b.capacity)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return held
+}
+
 // The memory of a request is released however the request ends. Memory that stayed taken would in time turn away all
 // requests.
 func TestRequestMemoryIsReleased(t *testing.T) {
@@ -71,7 +113,7 @@
 			t.Errorf("status %d, want %d", resp.StatusCode, status)
 		}
 	}
-	for name, play := range map[string]func(t *testing.T, g *testGateway, backend *peer){
+	testMemoryRelease(t, (*testGateway).requestMemory, map[string]memoryUse{
 		"served": func(t *testing.T, g *testGateway, backend *peer) {
 			_, answers := g.sendRequest(t, payment())
 			serveOne(t, backend, "paid")
@@ -80,7 +122,7 @@
 		"incomplete, then closed by the client": func(t *testing.T, g *testGateway, _ *peer) {
 			text := payment()
 			conn, _ := g.sendRequest(t, text[:len(text)-1])
-			g.awaitMemoryHeld(t)
+			g.requestMemory().awaitHeld(t)
 			conn.Close()
 		},
 		"incomplete until the read timeout": func(t *testing.T, g *testGateway, _ *peer) {
@@ -122,25 +164,7 @@
 			_, answers := g.sendRequest(t, payment())
 			expectStatus(t, answers, http.StatusServiceUnavailable)
 		},
-	} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			backend := newPeer(t)
-			g := startTestGateway(t, backend)
-			play(t, g, backend)
-			g.expectMemoryReleased(t)
-			if peak := g.server.frontend.memory.peak.Load(); peak < int64(len(longBody)) {
-				t.Errorf("at most %d bytes were held, want the %d of the body", peak, len(longBody))
-			}
-		})
-	}
-}
-
-// awaitMemoryHeld waits until memory is held for a request.
-func (g *testGateway) awaitMemoryHeld(t *testing.T) {
-	t.Helper()
-	budget := g.server.frontend.memory
-	awaitCondition(t, "no memory is held for the request", func() bool { return budget.held.Load() > 0 })
+	})
 }
 
 // The memory of a request stays taken while its answer is written, since the request's handler still refers to the
@@ -161,7 +185,7 @@
 	_, answers := g.sendRequest(t, requestText("POST", "payment", longBody))
 	serveOne(t, backend, strings.Repeat("x", maxBodyBytes)) // more than the HTTP server buffers
 	await(t, writing, "the beginning of the answer")
-	if g.server.frontend.memory.held.Load() == 0 {
+	if g.requestMemory().held.Load() == 0 {
 		t.Error("the memory was released before the answer was written")
 	}
 	close(release)
@@ -177,7 +201,7 @@
 	}
 	stated := fmt.Sprintf("Content-Length: %d", len(longBody))
 	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(longBody), longBody)
-	for name, play := range map[string]func(t *testing.T, g *testGateway, backend *peer){
+	testMemoryRelease(t, (*testGateway).responseMemory, map[string]memoryUse{
 		"served": func(t *testing.T, g *testGateway, backend *peer) {
 			_, answers := g.sendRequest(t, requestText("GET", "lookup", ""))
 			conn, _ := backend.acceptRequest(t)
@@ -206,7 +230,7 @@
 			conn, _ := backend.acceptRequest(t)
 			respond(conn, http.StatusOK, stated)
 			io.WriteString(conn, longBody[1:])
-			g.awaitResponseMemoryHeld(t)
+			g.responseMemory().awaitHeld(t)
 			conn.Close()
 			if resp := await(t, answers, "answer"); resp.StatusCode != http.StatusBadGateway {
 				t.Errorf("status %d", resp.StatusCode)
@@ -217,7 +241,7 @@
 			conn, _ := backend.acceptRequest(t)
 			respond(conn, http.StatusOK, stated)
 			io.WriteString(conn, longBody[1:])
-			g.awaitResponseMemoryHeld(t)
+			g.responseMemory().awaitHeld(t)
 			client.Close()
 		},
 		"the request times out before the end of the response": func(t *testing.T, g *testGateway, backend *peer) {
@@ -225,23 +249,12 @@
 			conn, _ := backend.acceptRequest(t)
 			respond(conn, http.StatusOK, stated)
 			io.WriteString(conn, longBody[1:])
-			g.awaitResponseMemoryHeld(t)
+			g.responseMemory().awaitHeld(t)
 			if resp := await(t, answers, "answer"); resp.StatusCode != http.StatusBadGateway {
 				t.Errorf("status %d", resp.StatusCode)
 			}
 		},
-	} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			backend := newPeer(t)
-			g := startTestGateway(t, backend)
-			play(t, g, backend)
-			g.expectMemoryReleased(t)
-			if peak := g.server.pools.memory.peak.Load(); peak < int64(len(longBody)) {
-				t.Errorf("at most %d bytes were held, want the %d of the body", peak, len(longBody))
-			}
-		})
-	}
+	})
 }
 
 // expectBody checks that an answer has status 200 and the given body.
@@ -253,24 +266,14 @@
 	}
 }
 
-// awaitResponseMemoryHeld waits until memory is held for a response.
-func (g *testGateway) awaitResponseMemoryHeld(t *testing.T) {
-	t.Helper()
-	budget := g.server.pools.memory
-	awaitCondition(t, "no memory is held for the response", func() bool { return budget.held.Load() > 0 })
-}
-
 // Long responses are held within their budget. A response for which no memory is free stays in the socket until another
 // one has been sent to its client, or until the attempt's deadline; a short response needs no memory of the budget.
 func TestResponsesAreBoundedByMemoryBudget(t *testing.T) {
 	t.Parallel()
 	backend := newPeer(t)
 	g := startTestGatewayWith(t, lowMemory, backend)
-	budget := g.server.pools.memory
-	held, err := budget.reserve(t.Context(), budget.capacity)
-	if err != nil {
-		t.Fatal(err)
-	}
+	budget := g.responseMemory()
+	held := budget.exhaust(t)
 	send := func(timeout, body string) <-chan *http.Response {
 		_, answers := g.sendRequest(t, requestText("POST", "payment", "x", timeLeftHeader, timeout))
 		conn, _ := backend.acceptRequest(t)
--- a/internal/gateway/requestbody_test.go
+++ b/internal/gateway/requestbody_test.go
@@ -35,7 +35,7 @@
 	const badClients = 120 // the budget has memory for a quarter of them
 	backend := newPeer(t)
 	g := startTestGatewayWith(t, lowMemory, backend)
-	budget := g.server.frontend.memory
+	budget := g.requestMemory()
 	type result struct {
 		status int
 		took   time.Duration
@@ -104,11 +104,8 @@
 	t.Parallel()
 	backend := newPeer(t)
 	g := startTestGatewayWith(t, lowMemory, backend)
-	budget := g.server.frontend.memory
-	held, err := budget.reserve(t.Context(), budget.capacity)
-	if err != nil {
-		t.Fatal(err)
-	}
+	budget := g.requestMemory()
+	held := budget.exhaust(t)
 	const timeout, wait = 4 * time.Second, 500 * time.Millisecond
 	_, answers := g.sendRequest(t, requestText("POST", "payment", longBody, timeLeftHeader, strconv.Itoa(int(timeout.Milliseconds()))))
 	awaitCondition(t, "the request does not wait for memory", budget.hasWaiters)
@@ -135,11 +132,8 @@
 	t.Parallel()
 	backend := newPeer(t)
 	g := startTestGatewayWith(t, lowMemory, backend)
-	budget := g.server.frontend.memory
-	held, err := budget.reserve(t.Context(), budget.capacity)
-	if err != nil {
-		t.Fatal(err)
-	}
+	budget := g.requestMemory()
+	held := budget.exhaust(t)
 	defer held.release()
 	const timeout = 400 * time.Millisecond
 	sentAt := time.Now()
@@ -189,13 +183,13 @@
 	t.Parallel()
 	backend := newPeer(t)
 	g := startTestGatewayWith(t, lowMemory, backend)
-	budget := g.server.frontend.memory
+	budget := g.requestMemory()
 	flooded := &g.server.frontend.loop.metrics.counts[connectionsFlooded]
 	next := requestText("POST", "payment", strings.Repeat("x", 2*unreservedPipelinedBytes))
 	conn, first := g.sendRequest(t, requestText("GET", "lookup", ""))
 	backendConn, _ := backend.acceptRequest(t)
 	io.WriteString(conn, next)
-	awaitCondition(t, "no memory is held for the bytes behind the request", func() bool { return budget.held.Load() > 0 })
+	budget.awaitHeld(t)
 	const lastResponse = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	io.WriteString(backendConn, lastResponse) // each request of the test comes on a new connection
 	await(t, first, "answer")
@@ -209,14 +203,11 @@
 	closing, _ := g.sendRequest(t, requestText("GET", "lookup", ""))
 	backend.acceptRequest(t)
 	io.WriteString(closing, next)
-	awaitCondition(t, "no memory is held for the bytes behind the request", func() bool { return budget.held.Load() > 0 })
+	budget.awaitHeld(t)
 	closing.Close()
 	g.expectMemoryReleased(t)
 
-	held, err := budget.reserve(t.Context(), budget.capacity)
-	if err != nil {
-		t.Fatal(err)
-	}
+	held := budget.exhaust(t)
 	defer held.release()
 	fewBytes, _ := g.sendRequest(t, requestText("GET", "lookup", ""))
 	_, fewReader := backend.acceptRequest(t)
