Let the soak flood gateways of 32 MB with incomplete long requests

New violations: a process over its memory limit, and an incomplete request without an answer or a close within 3 s.

--- a/cmd/amberlb/memory_test.go
+++ b/cmd/amberlb/memory_test.go
@@ -18,13 +18,13 @@
 
 // The limits of a gateway, and the clients that send it many bytes.
 const (
-	memoryLimitMB    = 48
-	descriptorLimit  = 1024
-	floodClients     = 500
-	floodTime        = 4 * time.Second
-	floodTimeout     = 8 * time.Second // timeout that the flooding clients state
-	maxBodyBytes     = 64 << 10
-	memoryPollPeriod = 10 * time.Millisecond
+	memoryLimitMB   = 48
+	descriptorLimit = 1024
+	floodClients    = 500
+	floodTime       = 4 * time.Second
+	floodTimeout    = 8 * time.Second // timeout that the flooding clients state
+	maxBodyBytes    = 64 << 10
+	shortRequestGap = 10 * time.Millisecond // pause between two requests of the other client
 )
 
 // floodRequest returns the text of request n, with a body.
@@ -61,6 +61,9 @@
 			served := f.sendRequests(t)
 			f.clients.Wait()
 			peak := f.stopWatch()
+			if _, err := f.process.Usage(); err != nil {
+				t.Errorf("the gateway has ended: %v", err)
+			}
 			t.Logf("%d of %d KiB of memory were used; %d flooding connections, %d other requests served", peak>>10,
 				memoryLimitMB<<10, f.connections.Load(), served)
 			if peak > memoryLimitMB<<20 {
@@ -104,35 +107,10 @@
 		t.Fatal(err)
 	}
 	f := &flood{process: process, address: options.Listen, end: time.Now().Add(floodTime)}
-	f.stopWatch = watchMemory(t, process)
+	f.stopWatch = process.WatchMemory()
 	return f
 }
 
-// watchMemory reads the memory of a process periodically. The returned function ends that, and returns the peak.
-func watchMemory(t *testing.T, process *gatewayprocess.Gateway) (stop func() (peak int64)) {
-	stopped, result := make(chan struct{}), make(chan int64)
-	go func() {
-		var peak int64
-		for {
-			usage, err := process.Usage()
-			if err != nil {
-				t.Errorf("the gateway has ended: %v", err)
-			}
-			peak = max(peak, usage.AnonymousRSS)
-			select {
-			case <-time.After(memoryPollPeriod):
-			case <-stopped:
-				result <- peak
-				return
-			}
-		}
-	}()
-	return func() int64 {
-		close(stopped)
-		return <-result
-	}
-}
-
 // run starts the flooding clients. Each sends a message on a connection, waits for an answer or a close, and does the
 // same again on a new connection.
 func (f *flood) run(message func(n int64) string) {
@@ -172,7 +150,7 @@
 		if attempt.Status == http.StatusOK {
 			served++
 		}
-		time.Sleep(memoryPollPeriod)
+		time.Sleep(shortRequestGap)
 	}
 	return served
 }
--- a/cmd/amberlb/stop_test.go
+++ b/cmd/amberlb/stop_test.go
@@ -170,6 +170,7 @@
 		Listen:          listen,
 		Discovery:       discovery,
 		DescriptorLimit: 1024,
+		MemoryMB:        192,
 		Classes:         classes,
 		Env:             commandEnv,
 	}
@@ -228,7 +229,11 @@
 			t.Parallel()
 			concurrentRuns <- struct{}{}
 			defer func() { <-concurrentRuns }()
-			result, err := soak.Run(t.Context(), soak.NewPlan(seed, length), soak.Options{
+			plan := soak.NewPlan(seed, length)
+			// With the race detector, a flood of bad clients keeps a gateway's only core busy for longer than the rules on
+			// times allow. TestClientsCannotExceedMemoryLimit and the command fleetlab soak have them.
+			plan.BadClients = 0
+			result, err := soak.Run(t.Context(), plan, soak.Options{
 				Program: gatewayprocess.Program{Command: "exec " + os.Args[0], Dir: "."},
 				Env:     commandEnv, Log: slog.New(slog.DiscardHandler)})
 			if err != nil {
--- a/cmd/fleetlab/soak.go
+++ b/cmd/fleetlab/soak.go
@@ -87,7 +87,7 @@
 				return nil
 			}
 			plan := soak.NewPlan(args.Seed+uint64(i), args.For)
-			result, err := soak.Run(ctx, plan, soak.Options{Program: program, Log: log})
+			result, err := soak.Run(ctx, plan, soak.Options{Program: program, Log: log, CheckMemory: true})
 			results[i] = result
 			return err
 		})
@@ -120,10 +120,10 @@
 	plan := result.Plan
 	verdict := result.Verdict
 	longestDeadline := soak.KillAfter(plan.Classes) - soak.KillDelay
-	fmt.Fprintf(stdout, "seed %d: %d gateways, %d stops, longest deadline %v, %d idle connections: ",
-		plan.Seed, plan.Gateways, len(plan.Stops), longestDeadline, plan.IdleConns)
-	fmt.Fprintf(stdout, "%d served, %d rejected, %d failed, %d disconnected, ",
-		verdict.Served, verdict.Rejected, verdict.Failed, verdict.Disconnected)
+	fmt.Fprintf(stdout, "seed %d: %d gateways, %d stops, longest deadline %v, %d idle connections, %d bad clients: ",
+		plan.Seed, plan.Gateways, len(plan.Stops), longestDeadline, plan.IdleConns, plan.BadClients)
+	fmt.Fprintf(stdout, "%d served, %d rejected, %d failed, %d disconnected, %d incomplete, ",
+		verdict.Served, verdict.Rejected, verdict.Failed, verdict.Disconnected, verdict.Incomplete)
 	fmt.Fprintf(stdout, "%d close races, %d ended by a hard kill, %d excused by SIGKILL, %d violations\n",
 		verdict.CloseRaces, verdict.HardKilled, verdict.ExcusedByKill, len(verdict.Violations))
 	for i, violation := range verdict.Violations {
--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -51,6 +51,7 @@
 	Rejected      int // requests answered with status 429 or 503
 	Failed        int // requests answered with another status
 	Disconnected  int // requests whose client disconnected
+	Incomplete    int // requests of bad clients, which the other fields don't count
 }
 
 // processID identifies a process of any gateway by the gateway's number and the process's number.
@@ -83,6 +84,9 @@
 	for i := range history.Processes {
 		c.checkProcess(&history.Processes[i])
 	}
+	for _, record := range history.IncompleteRequests {
+		c.checkIncomplete(record)
+	}
 	return c.verdict
 }
 
@@ -251,4 +255,8 @@
 	if process.SigkillAt == 0 && process.Err != nil {
 		c.addProcessViolation(UnexpectedExit, process, "the process ended by itself with an error")
 	}
+	if limit := c.history.MemoryLimit; limit > 0 && process.PeakMemory > limit {
+		detail := fmt.Sprintf("the process used %d bytes of memory, with a limit of %d", process.PeakMemory, limit)
+		c.addProcessViolation(OverMemoryLimit, process, detail)
+	}
 }
--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -60,6 +60,8 @@
 	process         Process // the test sets the fields Gateway and Number
 	listChanges     []ListChange
 	outages         []Outage
+	incomplete      []IncompleteRequest
+	memoryLimit     int64
 }
 
 var checkCases = map[string]checkCase{
@@ -188,6 +190,31 @@
 		clientAttempt: servedAttempt,
 		process:       Process{ReadyAt: 11 * time.Second},
 	},
+	"memory within the limit": {
+		clientAttempt: servedAttempt,
+		process:       Process{PeakMemory: 100},
+		memoryLimit:   100,
+	},
+	"memory over the limit": {
+		violated:      OverMemoryLimit,
+		clientAttempt: servedAttempt,
+		process:       Process{PeakMemory: 101},
+		memoryLimit:   100,
+	},
+	"incomplete request ended in time": {
+		clientAttempt: servedAttempt,
+		incomplete:    []IncompleteRequest{{ConnectedAt: time.Second, EndedAt: 3900 * ms}},
+	},
+	"incomplete request ended late": {
+		violated:      IncompleteKept,
+		clientAttempt: servedAttempt,
+		incomplete:    []IncompleteRequest{{ConnectedAt: time.Second, EndedAt: 4200 * ms}},
+	},
+	"incomplete request not ended": {
+		violated:      IncompleteKept,
+		clientAttempt: servedAttempt,
+		incomplete:    []IncompleteRequest{{ConnectedAt: time.Second}},
+	},
 	"never ready": {
 		violated:      NotReady,
 		clientAttempt: servedAttempt,
@@ -210,6 +237,9 @@
 				Processes:       []Process{c.process},
 				ListChanges:     c.listChanges,
 				Outages:         c.outages,
+
+				IncompleteRequests: c.incomplete,
+				MemoryLimit:        c.memoryLimit,
 			})
 			switch {
 			case c.violated == "" && len(verdict.Violations) > 0, c.violated != "" && len(verdict.Violations) != 1:
--- a/internal/lab/soak/doc.go
+++ b/internal/lab/soak/doc.go
@@ -2,7 +2,8 @@
 // Gateways get signals, are paused, killed and restarted. Backends hang, drain and return, and discovery has outages.
 // Clients use a connection until the gateway closes it or gets SIGKILL. Some clients write slowly or disconnect. Idle
 // connections can use up the file descriptors of a gateway. Proxies in front of gateways and backends delay and split
-// bytes. The proxies in front of backends also reset connections.
+// bytes. The proxies in front of backends also reset connections. In some runs, bad clients send long requests without
+// their last byte to gateways with little memory.
 //
 // NewPlan generates a plan from a seed, Run carries it out, and Check examines the records. Clients and backends keep
 // their records separately, with times on one monotonic clock. Check joins the records by the ids of the requests. It
--- a/internal/lab/soak/gatewaynode.go
+++ b/internal/lab/soak/gatewaynode.go
@@ -19,9 +19,10 @@
 	options GatewayOptions
 	proxy   *Proxy
 
-	// The goroutine that currently starts or stops the gateway owns the two fields below.
-	process *gatewayprocess.Gateway // the running process; nil: none
-	current Process                 // record of the running process
+	// The goroutine that currently starts or stops the gateway owns the three fields below.
+	process     *gatewayprocess.Gateway // the running process; nil: none
+	current     Process                 // record of the running process
+	watchedPeak func() int64            // ends the watch of the process's memory and returns the peak in bytes
 
 	mu             sync.Mutex
 	processNumber  int  // number of the running process, or of the last process if none is running
@@ -44,6 +45,7 @@
 		Listen:          address,
 		Discovery:       r.standins.discoveryProxy.Address(),
 		DescriptorLimit: r.plan.DescriptorLimit,
+		MemoryMB:        r.plan.MemoryMB,
 		Classes:         r.plan.Classes,
 		Env:             r.options.Env,
 	}
@@ -107,6 +109,7 @@
 	if err != nil {
 		return err
 	}
+	n.watchedPeak = n.process.WatchMemory()
 	if _, err := n.process.WaitReady(ctx, startTimeout); err != nil {
 		if ctx.Err() == nil {
 			n.current.neverReady = true
@@ -124,6 +127,7 @@
 
 // recordEnd records the end of a gateway's process. If the process is still running, it is killed first.
 func (r *runner) recordEnd(n *gatewayNode) {
+	n.current.PeakMemory = n.watchedPeak()
 	n.current.Err = n.process.Close()
 	n.current.EndedAt = r.clock.Now()
 	n.current.Log = n.process.Log()
--- a/internal/lab/soak/gatewayoptions.go
+++ b/internal/lab/soak/gatewayoptions.go
@@ -6,10 +6,8 @@
 	"amberlb/internal/lab/gatewayprocess"
 )
 
-const (
-	planName        = "standard" // name of the only plan of customers in the settings
-	gatewayMemoryMB = 192        // memory limit of a gateway, MiB
-)
+// planName is the name of the only plan of customers in the settings.
+const planName = "standard"
 
 // GatewayOptions configure one gateway.
 type GatewayOptions struct {
@@ -17,6 +15,7 @@
 	Listen          string // address on which the gateway accepts clients
 	Discovery       string // address of discovery
 	DescriptorLimit int    // limit of open file descriptors
+	MemoryMB        int    // memory limit, MiB
 	Classes         []Class
 	Env             []string // additional environment variables of the process
 }
@@ -29,7 +28,7 @@
 		Discovery:       o.Discovery,
 		Seed:            1,
 		Cores:           1,
-		MemoryMB:        gatewayMemoryMB,
+		MemoryMB:        o.MemoryMB,
 		Settings:        settings,
 		Listen:          o.Listen,
 		DescriptorLimit: o.DescriptorLimit,
--- a/internal/lab/soak/history.go
+++ b/internal/lab/soak/history.go
@@ -9,6 +9,9 @@
 	Processes       []Process
 	ListChanges     []ListChange // sorted by time
 	Outages         []Outage     // outages of discovery
+
+	IncompleteRequests []IncompleteRequest
+	MemoryLimit        int64 // limit of the memory of a process in bytes; 0: not checked
 }
 
 // Process is the record of one process of a gateway, from its start to its end.
@@ -21,6 +24,7 @@
 	SigkillAt  time.Duration // time of the SIGKILL; 0: the process got no SIGKILL
 	EndedAt    time.Duration // time of the end of the process; 0: the process did not end
 	Err        error         // result of the process; nil only for exit status 0
+	PeakMemory int64         // peak of the anonymous memory of the process in bytes
 	Log        string        // last part of the log of the process
 	signals    []signalRecord
 	hardKilled bool // the process got a hard kill (see Stop), or SIGKILL as the run ended before it was ready
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -17,7 +17,9 @@
 	HangingBackends   int // number of backends that hang while a gateway stops
 	ClientsPerGateway int // number of concurrent clients for each gateway
 	DescriptorLimit   int // limit of open file descriptors of a gateway
+	MemoryMB          int // memory limit of a gateway, MiB
 	IdleConns         int // number of idle connections held open to each gateway
+	BadClients        int // number of clients for each gateway that send incomplete requests
 	Classes           []Class
 	ClientFaults      NetworkFaults // faults between clients and gateways
 	BackendFaults     NetworkFaults // faults between gateways and backends
@@ -81,6 +83,9 @@
 
 	lowDescriptorLimit     = 192 // DescriptorLimit and IdleConns of some plans; idle connections use up the descriptors
 	defaultDescriptorLimit = 1024
+
+	lowMemoryMB     = 32 // memory limit of plans with bad clients
+	defaultMemoryMB = 192
 )
 
 // NewPlan generates a random plan from a seed. The order of the calls to the random number generator must not change,
@@ -95,6 +100,7 @@
 		Backends:          6 + rng.IntN(5),
 		ClientsPerGateway: 8 + rng.IntN(9),
 		DescriptorLimit:   defaultDescriptorLimit,
+		MemoryMB:          defaultMemoryMB,
 	}
 	p.HangingBackends = p.Backends/4 + rng.IntN(p.Backends/2)
 	p.Classes = newClasses(rng, longestDeadline)
@@ -107,6 +113,10 @@
 	p.Drains = newDrains(rng, p.Backends, duration)
 	p.Outages = newOutages(rng, duration)
 	p.Stops = newStops(rng, p.Gateways, KillAfter(p.Classes), duration)
+	if rng.IntN(4) == 0 && p.IdleConns == 0 {
+		p.MemoryMB = lowMemoryMB
+		p.BadClients = lowMemoryMB * 4 // the requests of a fifth of them fit in the memory for requests
+	}
 	return p
 }
 
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -18,6 +18,10 @@
 	Program gatewayprocess.Program
 	Env     []string // additional environment variables of the gateways
 	Log     *slog.Logger
+
+	// CheckMemory makes Run check that the gateways stay within their memory limit. A program with the race detector
+	// needs several times as much memory.
+	CheckMemory bool
 }
 
 // Result is the result of a run.
@@ -41,6 +45,8 @@
 	processes      []Process // processes that have ended
 	listChanges    []ListChange
 	requestCount   int
+
+	incompleteRequests []IncompleteRequest
 }
 
 // Run carries out a plan and checks the records. It returns an error if the run could not be set up. When Run returns,
@@ -87,6 +93,9 @@
 	}
 	for _, n := range r.gateways {
 		tasks.Go(func() { r.holdIdleConns(ctx, n) })
+		for range r.plan.BadClients {
+			tasks.Go(func() { r.runBadClient(ctx, n) })
+		}
 	}
 	for _, n := range r.gateways {
 		tasks.Go(func() { r.runStops(ctx, n) })
@@ -99,13 +108,18 @@
 
 // history returns all records. It may be called only after all clients, stops and drains have ended.
 func (r *runner) history() History {
-	return History{
-		ClientAttempts:  r.clientAttempts,
-		BackendAttempts: r.standins.backendAttempts(),
-		Processes:       r.processes,
-		ListChanges:     r.listChanges,
-		Outages:         r.plan.Outages,
+	history := History{
+		ClientAttempts:     r.clientAttempts,
+		BackendAttempts:    r.standins.backendAttempts(),
+		Processes:          r.processes,
+		ListChanges:        r.listChanges,
+		Outages:            r.plan.Outages,
+		IncompleteRequests: r.incompleteRequests,
+	}
+	if r.options.CheckMemory {
+		history.MemoryLimit = int64(r.plan.MemoryMB) << 20
 	}
+	return history
 }
 
 // close stops everything that is still running.
--- a/internal/lab/soak/violation.go
+++ b/internal/lab/soak/violation.go
@@ -17,6 +17,8 @@
 	SentToDrained       Invariant = "drained"    // an attempt began at a backend long after its drain began
 	UnexpectedExit      Invariant = "crash"      // a process ended by itself with an error
 	NotReady            Invariant = "not ready"  // a process did not become ready in time
+	OverMemoryLimit     Invariant = "memory"     // a process used more memory than its limit
+	IncompleteKept      Invariant = "kept"       // a client with an incomplete request got no answer or close in time
 )
 
 // Violation is a violation of an invariant, with the records that show it.
--- a/internal/lab/soak/workload.go
+++ b/internal/lab/soak/workload.go
@@ -17,6 +17,7 @@
 	idleConnInterval     = 5 * time.Millisecond    // pause before each idle connection is opened
 	maxPieceGap          = 150 * time.Millisecond  // longest pause between two pieces of a slow request
 	maxBodyBytes         = 2000
+	maxLongBodyBytes     = 32 << 10         // replaces maxBodyBytes in plans with bad clients, which compete for memory
 	minResendTimeout     = time.Millisecond // shortest remaining timeout with which a request is sent again
 )
 
@@ -118,7 +119,7 @@
 	request := Request{ID: r.nextRequestID(), Class: class.Name, Method: "GET", Timeout: class.Deadline}
 	if class.Idempotency != Idempotent {
 		request.Method = "POST"
-		request.BodyBytes = 1 + rng.IntN(maxBodyBytes)
+		request.BodyBytes = 1 + rng.IntN(r.longestBody())
 	}
 	if class.Idempotency == IdempotentByKey {
 		request.Key = request.ID
@@ -133,6 +134,14 @@
 	return request
 }
 
+// longestBody returns the largest size of a request's body in bytes.
+func (r *runner) longestBody() int {
+	if r.plan.BadClients > 0 {
+		return maxLongBodyBytes
+	}
+	return maxBodyBytes
+}
+
 // nextRequestID returns an id that no other request of the run has.
 func (r *runner) nextRequestID() string {
 	r.mu.Lock()
