--- a/internal/gateway/memorybudget_test.go
+++ b/internal/gateway/memorybudget_test.go
@@ -107,12 +107,6 @@
 func TestRequestMemoryIsReleased(t *testing.T) {
 	t.Parallel()
 	payment := func(change ...string) string { return requestText("POST", "payment", longBody, change...) }
-	expectStatus := func(t *testing.T, answers <-chan *http.Response, status int) {
-		t.Helper()
-		if resp := await(t, answers, "answer"); resp.StatusCode != status {
-			t.Errorf("status %d, want %d", resp.StatusCode, status)
-		}
-	}
 	testMemoryRelease(t, (*testGateway).requestMemory, map[string]memoryUse{
 		"served": func(t *testing.T, g *testGateway, backend *peer) {
 			_, answers := g.sendRequest(t, payment())
@@ -221,9 +215,7 @@
 			conn, _ := backend.acceptRequest(t)
 			respond(conn, http.StatusInternalServerError, stated)
 			io.WriteString(conn, longBody)
-			if resp := await(t, answers, "answer"); resp.StatusCode != http.StatusBadGateway {
-				t.Errorf("status %d", resp.StatusCode)
-			}
+			expectStatus(t, answers, http.StatusBadGateway)
 		},
 		"reset": func(t *testing.T, g *testGateway, backend *peer) {
 			_, answers := g.sendRequest(t, requestText("POST", "payment", "x"))
@@ -232,9 +224,7 @@
 			io.WriteString(conn, longBody[1:])
 			g.responseMemory().awaitHeld(t)
 			conn.Close()
-			if resp := await(t, answers, "answer"); resp.StatusCode != http.StatusBadGateway {
-				t.Errorf("status %d", resp.StatusCode)
-			}
+			expectStatus(t, answers, http.StatusBadGateway)
 		},
 		"the client disconnects before the end of the response": func(t *testing.T, g *testGateway, backend *peer) {
 			client, _ := g.sendRequest(t, requestText("GET", "lookup", ""))
@@ -250,13 +240,19 @@
 			respond(conn, http.StatusOK, stated)
 			io.WriteString(conn, longBody[1:])
 			g.responseMemory().awaitHeld(t)
-			if resp := await(t, answers, "answer"); resp.StatusCode != http.StatusBadGateway {
-				t.Errorf("status %d", resp.StatusCode)
-			}
+			expectStatus(t, answers, http.StatusBadGateway)
 		},
 	})
 }
 
+// expectStatus checks the status of an answer.
+func expectStatus(t *testing.T, answers <-chan *http.Response, status int) {
+	t.Helper()
+	if resp := await(t, answers, "answer"); resp.StatusCode != status {
+		t.Errorf("status %d, want %d", resp.StatusCode, status)
+	}
+}
+
 // expectBody checks that an answer has status 200 and the given body.
 func expectBody(t *testing.T, answers <-chan *http.Response, want string) {
 	t.Helper()
--- a/internal/gateway/requestbody_test.go
+++ b/internal/gateway/requestbody_test.go
@@ -121,9 +121,7 @@
 		t.Errorf("%d bytes of the body arrived, want %d", len(body), len(longBody))
 	}
 	respondOK(conn, "paid")
-	if resp := await(t, answers, "answer"); resp.StatusCode != http.StatusOK {
-		t.Errorf("status %d", resp.StatusCode)
-	}
+	expectStatus(t, answers, http.StatusOK)
 }
 
 // A request for which no memory becomes free is rejected before half of its client's timeout is over, and its client is
@@ -171,9 +169,7 @@
 	}
 	time.Sleep(2 * maxBodyStall) // the watch for a disconnect must not be interrupted
 	respondOK(backendConn, "paid")
-	if resp := await(t, answers, "answer"); resp.StatusCode != http.StatusOK {
-		t.Errorf("status %d", resp.StatusCode)
-	}
+	expectStatus(t, answers, http.StatusOK)
 }
 
 // Bytes that clients send behind their open requests are held within the budget too. A client for whose bytes no memory
