Log what the process holds while the runtime uses more than its memory limit

A watch reads the runtime's memory four times a second and logs these once in ten seconds while the limit is exceeded; the counts of each minute have them too.

--- a/internal/gateway/eventloop.go
+++ b/internal/gateway/eventloop.go
@@ -20,7 +20,7 @@
 //
 // Its methods and fields belong to the goroutine of run. Before run begins and after run has returned, they belong to
 // the goroutine that starts run. Other goroutines may call post and postEndpointList, read clock and stopped, and use
-// metrics, attempts, counterCalls and counterCallsUnanswered.
+// metrics, attempts, openRequests, scheduledTimers, counterCalls and counterCallsUnanswered.
 type eventLoop struct {
 	clock          clock
 	log            *slog.Logger
@@ -35,6 +35,9 @@
 	stopped  chan struct{}  // closed when run returns
 	attempts sync.WaitGroup // attempts for which the transport has not called onDone
 
+	openRequests    atomic.Int64 // number of open requests, for the log
+	scheduledTimers atomic.Int64 // number of timers that have not fired or been dropped, for the log
+
 	counterCalls           atomic.Uint64 // number of counter calls, including calls rejected before they were sent
 	counterCallsUnanswered atomic.Uint64 // number of these calls that count as unanswered (see Hollow.CounterCalls)
 
@@ -106,6 +109,8 @@
 		case <-wakeUp.C:
 		}
 		l.fireDueTimers()
+		l.openRequests.Store(int64(len(l.requests)))
+		l.scheduledTimers.Store(int64(len(l.timers.entries)))
 		if at, scheduled := l.timers.next(); scheduled {
 			wakeUp.Reset(time.Until(l.clock.toTime(at)))
 		}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -109,9 +109,5 @@
 
 // logCounts logs the counts since the start, and the memory in use.
 func (s *server) logCounts() {
-	s.log.Info("counts",
-		"since_start", &s.frontend.loop.metrics,
-		"memory", memoryUsage{},
-		"request_memory", s.frontend.memory,
-		"response_memory", s.pools.memory)
+	s.log.Info("counts", append([]any{"since_start", &s.frontend.loop.metrics}, s.memoryDetails()...)...)
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -91,6 +91,7 @@
 	s.components.Go(func() { loop.run(s.componentsContext) })
 	s.components.Go(func() { s.pools.sweepIdle(s.componentsContext) })
 	s.components.Go(func() { s.logCountsPeriodically(s.componentsContext) })
+	s.components.Go(func() { s.newMemoryWatch().run(s.componentsContext) })
 	if s.counter != nil {
 		s.components.Go(func() { s.counter.run(s.componentsContext) })
 	}
