Play crowds of hostile clients of a seed against gateways at the corners of their limits

The check counts memory, lost and late usual requests, ids run twice and attempts after a client has left.

--- a/cmd/fleetlab/soak.go
+++ b/cmd/fleetlab/soak.go
@@ -35,6 +35,16 @@
 	Seeds int           `default:"1" help:"The number of consecutive seeds to run, from the first one on."`
 	For   time.Duration `default:"30s" help:"The duration of the run of each seed."`
 	Jobs  int           `default:"1" help:"The number of seeds that run at the same time."`
+
+	Hostile bool `help:"Play crowds of hostile clients against gateways at the corners of their limits."`
+}
+
+// newPlan returns the plan of a seed.
+func (a soakArguments) newPlan(seed uint64) soak.Plan {
+	if a.Hostile {
+		return soak.NewHostilePlan(seed, a.For)
+	}
+	return soak.NewPlan(seed, a.For)
 }
 
 // validate returns an error that names the first argument that is out of range.
@@ -86,7 +96,7 @@
 			if ctx.Err() != nil {
 				return nil
 			}
-			plan := soak.NewPlan(args.Seed+uint64(i), args.For)
+			plan := args.newPlan(args.Seed + uint64(i))
 			result, err := soak.Run(ctx, plan, soak.Options{Program: program, Log: log, CheckMemory: true})
 			results[i] = result
 			return err
@@ -122,6 +132,7 @@
 	longestDeadline := soak.KillAfter(plan.Classes) - soak.KillDelay
 	fmt.Fprintf(stdout, "seed %d: %d gateways, %d stops, longest deadline %v, %d idle connections, %d bad clients: ",
 		plan.Seed, plan.Gateways, len(plan.Stops), longestDeadline, plan.IdleConns, plan.BadClients)
+	printCrowds(stdout, result)
 	fmt.Fprintf(stdout, "%d served, %d rejected, %d failed, %d disconnected, %d incomplete, ",
 		verdict.Served, verdict.Rejected, verdict.Failed, verdict.Disconnected, verdict.Incomplete)
 	fmt.Fprintf(stdout, "%d close races, %d ended by a hard kill, %d excused by SIGKILL, %d violations\n",
@@ -134,3 +145,20 @@
 		fmt.Fprintln(stdout, violation)
 	}
 }
+
+// printCrowds prints the limits, the hostile clients and the peak of the memory of a run that has hostile clients.
+func printCrowds(stdout io.Writer, result soak.Result) {
+	if len(result.Plan.Crowds) == 0 {
+		return
+	}
+	fmt.Fprintf(stdout, "%d MB, %d descriptors, ", result.Plan.MemoryMB, result.Plan.DescriptorLimit)
+	for _, crowd := range result.Plan.Crowds {
+		fmt.Fprintf(stdout, "%d %q (%s), ", crowd.Clients, crowd.Shape, crowd.Ending)
+	}
+	var peak int64
+	for _, process := range result.History.Processes {
+		peak = max(peak, process.PeakMemory)
+	}
+	fmt.Fprintf(stdout, "peak %d KiB, %d hostile connections, %d of them kept: ", peak>>10, result.Verdict.Hostile,
+		result.Verdict.HostileKept)
+}
--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -52,6 +52,8 @@
 	Failed        int // requests answered with another status
 	Disconnected  int // requests whose client disconnected
 	Incomplete    int // requests of bad clients, which the other fields don't count
+	Hostile       int // connections of hostile clients
+	HostileKept   int // those of Hostile that were owed an error or a close and got neither in time
 }
 
 // processID identifies a process of any gateway by the gateway's number and the process's number.
@@ -87,6 +89,9 @@
 	for _, record := range history.IncompleteRequests {
 		c.checkIncomplete(record)
 	}
+	for i := range history.HostileExchanges {
+		c.checkHostile(&history.HostileExchanges[i])
+	}
 	return c.verdict
 }
 
--- a/internal/lab/soak/history.go
+++ b/internal/lab/soak/history.go
@@ -11,6 +11,7 @@
 	Outages         []Outage     // outages of discovery
 
 	IncompleteRequests []IncompleteRequest
+	HostileExchanges   []HostileExchange
 	MemoryLimit        int64 // limit of the memory of a process in bytes; 0: not checked
 }
 
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"syscall"
 	"time"
+
+	"amberlb/internal/lab/hostile"
 )
 
 // Plan defines one run of the soak: its gateways, backends and clients, and the faults with their times. Times count
@@ -14,12 +16,13 @@
 	Duration          time.Duration
 	Gateways          int
 	Backends          int
-	HangingBackends   int // number of backends that hang while a gateway stops
-	ClientsPerGateway int // number of concurrent clients for each gateway
-	DescriptorLimit   int // limit of open file descriptors of a gateway
-	MemoryMB          int // memory limit of a gateway, MiB
-	IdleConns         int // number of idle connections held open to each gateway
-	BadClients        int // number of clients for each gateway that send incomplete requests
+	HangingBackends   int             // number of backends that hang while a gateway stops
+	ClientsPerGateway int             // number of concurrent clients for each gateway
+	DescriptorLimit   int             // limit of open file descriptors of a gateway
+	MemoryMB          int             // memory limit of a gateway, MiB
+	IdleConns         int             // number of idle connections held open to each gateway
+	BadClients        int             // number of clients for each gateway that send incomplete requests
+	Crowds            []hostile.Crowd // hostile clients of each gateway
 	Classes           []Class
 	ClientFaults      NetworkFaults // faults between clients and gateways
 	BackendFaults     NetworkFaults // faults between gateways and backends
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -47,6 +47,7 @@
 	requestCount   int
 
 	incompleteRequests []IncompleteRequest
+	hostileExchanges   []HostileExchange
 }
 
 // Run carries out a plan and checks the records. It returns an error if the run could not be set up. When Run returns,
@@ -96,6 +97,9 @@
 		for range r.plan.BadClients {
 			tasks.Go(func() { r.runBadClient(ctx, n) })
 		}
+		for number, crowd := range r.plan.Crowds {
+			tasks.Go(func() { r.runCrowd(ctx, n, crowd, number) })
+		}
 	}
 	for _, n := range r.gateways {
 		tasks.Go(func() { r.runStops(ctx, n) })
@@ -115,6 +119,7 @@
 		ListChanges:        r.listChanges,
 		Outages:            r.plan.Outages,
 		IncompleteRequests: r.incompleteRequests,
+		HostileExchanges:   r.hostileExchanges,
 	}
 	if r.options.CheckMemory {
 		history.MemoryLimit = int64(r.plan.MemoryMB) << 20
