--- /dev/null
+++ b/cmd/amberlb/hostile_test.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"os/exec"
+	"testing"
+	"time"
+
+	"amberlb/internal/lab/gatewayprocess"
+	"amberlb/internal/lab/hostile"
+	"amberlb/internal/lab/soak"
+)
+
+const (
+	hostileClients  = 500
+	hostileDuration = 4 * time.Second
+	hostileRuns     = 2 // runs at the same time, so that the clients of each are fast
+)
+
+// gatewayLimits are the limits of a gateway in a test.
+type gatewayLimits struct {
+	memoryMB    int
+	descriptors int
+}
+
+// hostileLimits are the lowest memory with the most descriptors that the pages name, and the limits of issue 31.
+var hostileLimits = []gatewayLimits{{32, 1024}, {48, 1024}, {64, 384}}
+
+// Heads of very many short fields cost far more memory in parsed form than on the wire. Neither incomplete nor complete
+// heads of hundreds of clients take a gateway over its memory limit.
+func TestHeadsOfManyFieldsStayWithinMemoryLimit(t *testing.T) {
+	testMemoryOfCrowds(t, hostile.DistinctFields, hostile.RepeatedFields, hostile.ManyFields)
+}
+
+// testMemoryOfCrowds plays a crowd of each shape against gateways of all hostileLimits.
+func testMemoryOfCrowds(t *testing.T, shapes ...hostile.Shape) {
+	program := buildCommand(t)
+	concurrentRuns := make(chan struct{}, hostileRuns)
+	for _, limits := range hostileLimits {
+		for _, shape := range shapes {
+			t.Run(fmt.Sprintf("%s at %d MB", shape, limits.memoryMB), func(t *testing.T) {
+				t.Parallel()
+				concurrentRuns <- struct{}{}
+				defer func() { <-concurrentRuns }()
+				testMemoryOfCrowd(t, program, limits, shape)
+			})
+		}
+	}
+}
+
+// testMemoryOfCrowd plays a crowd of a shape against a gateway, and checks the gateway's memory and that usual requests
+// are served.
+func testMemoryOfCrowd(t *testing.T, program gatewayprocess.Program, limits gatewayLimits, shape hostile.Shape) {
+	plan := soak.NewHostilePlan(1, hostileDuration)
+	plan.Gateways, plan.Stops = 1, nil
+	plan.MemoryMB, plan.DescriptorLimit = limits.memoryMB, limits.descriptors
+	plan.Crowds = []hostile.Crowd{{Shape: shape, Ending: hostile.Stay, Clients: hostileClients, From: time.Second}}
+	result, err := soak.Run(t.Context(), plan, soak.Options{Program: program, Log: slog.New(slog.DiscardHandler), CheckMemory: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, process := range result.History.Processes {
+		t.Logf("%d of %d KiB of memory were used; %d hostile connections, %d usual requests served", process.PeakMemory>>10,
+			limits.memoryMB<<10, result.Verdict.Hostile, result.Verdict.Served)
+	}
+	for _, violation := range result.Verdict.Violations {
+		if violation.Invariant == soak.OverMemoryLimit || violation.Invariant == soak.UnexpectedExit {
+			t.Error(violation)
+		}
+	}
+	if result.Verdict.Hostile == 0 || result.Verdict.Served == 0 {
+		t.Errorf("%d hostile connections and %d usual requests served: the crowd did not test the gateway",
+			result.Verdict.Hostile, result.Verdict.Served)
+	}
+}
+
+// buildCommand builds the command without the race detector, which multiplies the memory.
+func buildCommand(t *testing.T) gatewayprocess.Program {
+	t.Helper()
+	dir := t.TempDir()
+	if output, err := exec.Command("go", "build", "-o", dir, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, output)
+	}
+	return gatewayprocess.Program{Command: "exec ./amberlb", Dir: dir}
+}
