Cancel the timers of what has ended, so that answered requests leave memory

Seen: 500 clients with complete requests of 64 KiB that were answered at once took gateways of 32, 48 and 64 MB to 199,140, 297,448 and 376,724 KiB of memory (6 s, deadline 3 s), while the budget of requests held a tenth of the limit. Cause: a timer stayed in the queue until it was due, also after its request, attempt or call had ended: stale timers left only at the head of the queue, where the next maintenance always was. The deadline of an attempt refers to its attempt, that to its request, and the request to its body, whose reservation had been given back. Each request held its body until its deadline. Change: schedule returns the timer, and its owner cancels it at its end. TestAnsweredRequestsFreeTheirMemory: 'the answered request is still in memory' with the cancel of the attempt's deadline left out, passes with it. TestTimersAreStaleOnceUnneeded asked whether a queued timer was stale; no stale timer stays queued now, and TestTimersEndWithTheirOwners checks each of its cases.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -39,7 +39,9 @@
 	ctx            context.Context    // bounds the wait for a connection
 	cancelContext  context.CancelFunc // ends ctx; may be called from any goroutine
 
-	ended bool // the attempt is no longer in flight; owned by the event loop
+	// Owned by the event loop:
+	ended         bool            // the attempt is no longer in flight
+	deadlineTimer *scheduledTimer // nil if the attempt ended before it was passed to the transport
 
 	mu           sync.Mutex   // guards the fields below
 	conn         *backendConn // nil while no connection is attached
--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -37,6 +37,7 @@
 	unanswered       bool // the request still needs its final answer
 	attemptsInFlight int  // number of attempts that have not ended
 	attempts         []*attempt
+	timers           []*scheduledTimer // timers that the engine has set for the request
 }
 
 // addOwner records that another goroutine uses the request.
--- a/internal/gateway/countercalls.go
+++ b/internal/gateway/countercalls.go
@@ -32,7 +32,7 @@
 		l.finishCall(call, policy.Rejected, 0)
 		return
 	}
-	l.timers.schedule(call.sentAt+l.deployment.CounterTimeout, counterCallDeadline{call})
+	call.deadlineTimer = l.timers.schedule(call.sentAt+l.deployment.CounterTimeout, counterCallDeadline{call})
 }
 
 // finishCall ends a call with the given outcome. The engine gets the reply as soon as all earlier calls for the key
@@ -47,6 +47,7 @@
 		return
 	}
 	call.ended = true
+	l.timers.cancel(call.deadlineTimer)
 	call.outcome = outcome
 	call.total = total
 	l.metrics.calls[outcome].Add(1)
--- a/internal/gateway/counterclient.go
+++ b/internal/gateway/counterclient.go
@@ -34,9 +34,10 @@
 	responseStarted atomic.Bool // set by the reader when the response begins to arrive
 
 	// The loop owns the fields below. outcome and total are set when the call ends.
-	ended   bool
-	outcome policy.Outcome
-	total   float64
+	deadlineTimer *scheduledTimer // nil if the call was not queued
+	ended         bool
+	outcome       policy.Outcome
+	total         float64
 }
 
 // counterClient sends calls to the counter over a few streams. Each stream pipelines its calls on one connection. All
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -39,7 +39,7 @@
 		return
 	}
 	a.ctx, a.cancelContext = context.WithCancel(context.Background())
-	l.timers.schedule(a.deadline, attemptDeadline{a})
+	a.deadlineTimer = l.timers.schedule(a.deadline, attemptDeadline{a})
 	l.attempts.Add(1)
 	l.transport.startAttempt(a, func(result attemptResult) {
 		defer l.attempts.Done()
@@ -87,6 +87,7 @@
 		return
 	}
 	a.ended = true
+	l.timers.cancel(a.deadlineTimer)
 	l.metrics.attempts[result.outcome].Add(1)
 	req := a.request
 	req.attemptsInFlight--
--- a/internal/gateway/eventloop.go
+++ b/internal/gateway/eventloop.go
@@ -36,7 +36,7 @@
 	attempts sync.WaitGroup // attempts for which the transport has not called onDone
 
 	openRequests    atomic.Int64 // number of open requests, for the log
-	scheduledTimers atomic.Int64 // number of timers that have not fired or been dropped, for the log
+	scheduledTimers atomic.Int64 // number of timers that are scheduled, for the log
 
 	counterCalls           atomic.Uint64 // number of counter calls, including calls rejected before they were sent
 	counterCallsUnanswered atomic.Uint64 // number of these calls that count as unanswered (see Hollow.CounterCalls)
@@ -121,7 +121,7 @@
 // prevent the loop from reading its inbox.
 func (l *eventLoop) fireDueTimers() {
 	now := l.clock.now()
-	for t := l.timers.popDue(l, now); t != nil; t = l.timers.popDue(l, now) {
+	for t := l.timers.popDue(now); t != nil; t = l.timers.popDue(now) {
 		t.fire(l)
 	}
 }
@@ -176,7 +176,7 @@
 			l.metrics.failed[a.Reason].Add(1)
 			l.respond(a.Request, clientResponse{status: http.StatusBadGateway})
 		case policy.SetTimer:
-			l.timers.schedule(l.clock.now()+max(a.Delay, 0), engineTimer{token: a.Token, request: a.Request})
+			l.setEngineTimer(a)
 		case policy.CounterAdd:
 			l.callCounter(a)
 		case policy.Log:
--- a/internal/gateway/eventloop_test.go
+++ b/internal/gateway/eventloop_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -93,27 +94,98 @@
 	}
 }
 
-// A timer is stale once its request, attempt or call has ended, so that the process doesn't wake up for it. A timer
-// that is still needed must not be dropped.
-func TestTimersAreStaleOnceUnneeded(t *testing.T) {
-	l := &eventLoop{requests: map[policy.RequestID]*clientRequest{7: {}}}
+// A timer leaves the queue once its request, attempt or call has ended, so that the process doesn't wake up for it and
+// the request doesn't stay in memory. A timer that is still needed stays.
+func TestTimersEndWithTheirOwners(t *testing.T) {
+	newLoop := func() *eventLoop {
+		l := &eventLoop{requests: map[policy.RequestID]*clientRequest{}, pendingCalls: map[uint64][]*counterCall{},
+			openCorrelationIDs: map[string]struct{}{}, engine: &policy.Engine{}}
+		l.pendingEvents = []policy.Event{nil} // nil stands for an event being handled: handleEvent only queues events
+		return l
+	}
+	req := &clientRequest{policyRequest: policy.Request{ID: 7}, unanswered: true}
+	req.owners.Store(1)
 	for _, c := range []struct {
 		name  string
-		timer timer
-		want  bool
+		begin func(l *eventLoop)
+		end   func(l *eventLoop)
+		want  int // timers after the end
 	}{
-		{"engine timer without a request", engineTimer{}, false},
-		{"engine timer of an open request", engineTimer{request: 7}, false},
-		{"engine timer of a request that has ended", engineTimer{request: 8}, true},
-		{"deadline of an attempt in flight", attemptDeadline{&attempt{}}, false},
-		{"deadline of an attempt that has ended", attemptDeadline{&attempt{ended: true}}, true},
-		{"deadline of a counter call in flight", counterCallDeadline{&counterCall{}}, false},
-		{"deadline of a counter call that has ended", counterCallDeadline{&counterCall{ended: true}}, true},
+		{"engine timer without a request", func(l *eventLoop) { l.setEngineTimer(policy.SetTimer{Delay: 1}) },
+			func(*eventLoop) {}, 1},
+		{"engine timer of an open request", func(l *eventLoop) { l.setEngineTimer(policy.SetTimer{Delay: 1, Request: 7}) },
+			func(l *eventLoop) { l.removeIfDone(req) }, 1},
+		{"engine timers of a request that ends", func(l *eventLoop) {
+			l.setEngineTimer(policy.SetTimer{Delay: 1, Request: 7})
+			l.setEngineTimer(policy.SetTimer{Delay: 2, Request: 7})
+		}, func(l *eventLoop) {
+			req.unanswered = false
+			l.removeIfDone(req)
+		}, 0},
+		{"deadline of an attempt", func(l *eventLoop) {
+			a := &attempt{request: req}
+			a.deadlineTimer = l.timers.schedule(1, attemptDeadline{a})
+			req.attempts = []*attempt{a}
+			req.attemptsInFlight = 1
+		}, func(l *eventLoop) { l.finishAttempt(req.attempts[0], attemptResult{outcome: policy.Failed}) }, 0},
+		{"deadline of a counter call", func(l *eventLoop) {
+			call := &counterCall{key: 1}
+			call.deadlineTimer = l.timers.schedule(1, counterCallDeadline{call})
+			l.pendingCalls[1] = []*counterCall{call}
+		}, func(l *eventLoop) { l.finishCall(l.pendingCalls[1][0], policy.Served, 1) }, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			if got := c.timer.isStale(l); got != c.want {
-				t.Errorf("stale %t", got)
+			l := newLoop()
+			req.unanswered = true
+			l.requests[7] = req
+			c.begin(l)
+			if len(l.timers.entries) == 0 {
+				t.Fatal("no timer was scheduled")
+			}
+			c.end(l)
+			if got := len(l.timers.entries); got != c.want {
+				t.Errorf("%d timers are left, want %d", got, c.want)
 			}
 		})
 	}
+	l := newLoop()
+	l.setEngineTimer(policy.SetTimer{Delay: 1, Request: 8})
+	if n := len(l.timers.entries); n != 0 {
+		t.Errorf("%d timers of a request that is not open", n)
+	}
+}
+
+// Timers fire in the order of their times, and cancelled ones do not, whenever they are cancelled.
+func TestCancelledTimersDoNotFire(t *testing.T) {
+	const count = 200
+	var queue timerQueue
+	rng := rand.New(rand.NewPCG(1, 1))
+	scheduled := make([]*scheduledTimer, count)
+	for i := range scheduled {
+		scheduled[i] = queue.schedule(rng.Float64(), engineTimer{uint64(i)})
+	}
+	cancelled := map[uint64]bool{}
+	cancel := func() {
+		i := rng.IntN(count)
+		queue.cancel(scheduled[i])
+		cancelled[uint64(i)] = true
+	}
+	queue.cancel(nil)
+	for range count / 4 {
+		cancel()
+	}
+	fired, last := map[uint64]bool{}, 0.0
+	for next := queue.popDue(1); next != nil; next = queue.popDue(1) {
+		token := next.(engineTimer).token
+		if cancelled[token] || scheduled[token].at < last {
+			t.Errorf("timer %d of %v fired after %v, cancelled %t", token, scheduled[token].at, last, cancelled[token])
+		}
+		last, fired[token] = scheduled[token].at, true
+		cancel()
+	}
+	for i := range uint64(count) {
+		if fired[i] == cancelled[i] && !fired[i] {
+			t.Errorf("timer %d neither fired nor was cancelled", i)
+		}
+	}
 }
--- a/internal/gateway/memorybudget_test.go
+++ b/internal/gateway/memorybudget_test.go
@@ -9,9 +9,12 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
+	"weak"
 )
 
 // The log of a gateway that goes over its memory limit must show which memory it was: in use by objects, garbage, stacks
@@ -361,3 +364,25 @@
 		t.Errorf("%d bytes are held and %d calls wait at the end", n, budget.waiting())
 	}
 }
+
+// A request that has been answered doesn't stay in memory until its deadline.
+func TestAnsweredRequestsFreeTheirMemory(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	g := startTestGateway(t, backend)
+	_, responses := g.sendRequest(t, requestText("POST", "payment", strings.Repeat("x", maxBodyBytes), timeLeftHeader, "15000"))
+	conn, _ := backend.acceptRequest(t)
+	var req weak.Pointer[clientRequest]
+	for _, open := range g.server.clientConnections.unanswered(1) {
+		req = weak.Make(open.clientRequest)
+	}
+	if req.Value() == nil {
+		t.Fatal("the request is not open")
+	}
+	respondOK(conn, "done")
+	await(t, responses, "answer")
+	awaitWithin(t, 5*time.Second, "the answered request is still in memory", func() bool {
+		runtime.GC()
+		return req.Value() == nil
+	})
+}
--- a/internal/gateway/peer_test.go
+++ b/internal/gateway/peer_test.go
@@ -105,7 +105,13 @@
 // testTimeout.
 func awaitCondition(t *testing.T, message string, holds func() bool) {
 	t.Helper()
-	for end := time.Now().Add(testTimeout); !holds(); time.Sleep(time.Millisecond) {
+	awaitWithin(t, testTimeout, message, holds)
+}
+
+// awaitWithin waits until a condition holds. It fails the test with a message if that takes longer than timeout.
+func awaitWithin(t *testing.T, timeout time.Duration, message string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(timeout); !holds(); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatal(message)
 		}
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -91,6 +91,9 @@
 	if isOpen && !req.unanswered && req.attemptsInFlight == 0 {
 		delete(l.requests, req.policyRequest.ID)
 		delete(l.openCorrelationIDs, req.correlationID)
+		for _, scheduled := range req.timers {
+			l.timers.cancel(scheduled)
+		}
 		req.removeOwner()
 	}
 }
