Bound the heads of requests in parsed form before they reach the parser

Cause: net/http parses a head while it arrives. maxHeaderBytes limits its bytes, 20 KiB, and nothing its fields: a field of 3 to 6 bytes takes 100 to 250 in the map of a head, so one connection held up to some 500 KB, complete or not, and the budget counted bytes on the wire, and only once the head was complete. Change: clientConn.Read tells the bytes of a request from those behind it (requestFramer), counts the fields of a head without parsing it (headScanner), rejects more than 100 with 431, and reserves the memory of the parsed form before a head of more than 4 KiB or 32 fields is passed on. A head that pauses for 0.25 s while another request waits gives its memory back. Bytes behind a request stay outside net/http's buffer, so no head escapes the count, and the end of a connection is looked for behind them.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -39,7 +39,7 @@
 			continue
 		}
 		c.metrics.add(connectionsAccepted)
-		conn.firstRequestDelay = unreadDelay(netConn, earliestArrival)
+		conn.requestDelay = unreadDelay(netConn, earliestArrival)
 		return conn, nil
 	}
 }
--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -33,16 +33,18 @@
 	phase atomicConnPhase // written under table.mu
 
 	// Owned by the goroutine that reads the connection:
-	pipelined       []byte      // bytes received behind an open request
-	pipelinedMemory reservation // for the bytes beyond unreservedPipelinedBytes
+	framer     requestFramer
+	unread     unreadBytes
+	headMemory reservation // for the head of the current request, until takeHeadMemory
+	clientGone bool        // the client has closed the connection or its sending side behind the current request
 
-	// firstRequestDelay is the longest time that the first request can have waited before the connection was accepted;
-	// 0 for later requests. The field needs no lock: it is set before the connection is served, and then used only by
-	// the goroutine that serves the connection.
-	firstRequestDelay time.Duration
+	// requestDelay is the longest time that the current request can have waited before it was read: before its connection
+	// was accepted, or for memory of its head. The field needs no lock: it is set before the connection is served, and then
+	// used only by the goroutine that serves the connection.
+	requestDelay time.Duration
 
-	// bodyBudget is the budget from which the body that is being read has taken memory; nil at other times.
-	bodyBudget atomic.Pointer[memoryBudget]
+	// incompleteBudget is the budget from which the request that is being read has taken memory; nil at other times.
+	incompleteBudget atomic.Pointer[memoryBudget]
 
 	// request is the open request, which is logged if a graceful shutdown leaves it unanswered; nil if no request is
 	// open.
@@ -57,28 +59,81 @@
 	wakeAt       time.Time     // time at which a wait for bytes of a body is interrupted (see readBytes); zero: none
 }
 
-// Read reads bytes from the client. It records when a request begins to arrive, and buffers the bytes that arrive
-// behind an open request.
+// Read reads bytes from the client. It records when a request begins to arrive, and returns bytes of one request only
+// until that request has been answered. It keeps the bytes that arrive behind the request.
 //
 // While a request is open, the HTTP server reads a single byte to detect a client that disconnects. A byte that the
 // client sends behind the request would end that read, and the server would not detect a later disconnect: the request
-// would be forwarded although its client no longer waits. Read therefore buffers the bytes behind an open request and
-// keeps watching the connection. A client that sends maxPipelinedBytes is treated as disconnected.
+// would be forwarded although its client no longer waits. Read therefore keeps the bytes behind an open request and
+// keeps watching the connection. A client that sends maxUnreadBytes is treated as disconnected.
 func (c *clientConn) Read(p []byte) (int, error) {
 	if len(p) == 1 && c.phase.load() == phaseOpen {
 		return 0, c.watchForClose(p)
 	}
-	if len(c.pipelined) > 0 {
-		return c.readPipelined(p), nil
+	if c.framer.isComplete() {
+		c.framer.reset()
+	}
+	if len(c.unread.bytes) > 0 {
+		return c.readUnread(p)
 	}
 	n, err := c.readBytes(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		n, err = c.readTimedOut(p, err)
 	}
-	if n > 0 && c.phase.load() == phaseIdle {
+	if n == 0 {
+		return 0, err
+	}
+	return c.passOn(p[:n])
+}
+
+// readUnread reads bytes of the current request that were received before.
+func (c *clientConn) readUnread(p []byte) (int, error) {
+	p = p[:min(len(p), len(c.unread.bytes))]
+	readsHead := c.beginPart()
+	n := c.framer.advance(c.unread.bytes[:len(p)])
+	copy(p, c.unread.bytes[:n])
+	c.unread.drop(n)
+	if err := c.endPart(readsHead); err != nil {
+		return 0, err
+	}
+	return n, nil
+}
+
+// passOn returns the number of received bytes that belong to the current part of the request, and keeps the others.
+func (c *clientConn) passOn(received []byte) (int, error) {
+	readsHead := c.beginPart()
+	n := c.framer.advance(received)
+	if err := c.unread.add(received[n:], c.table.memory); err != nil {
+		c.clientGone = true // bytes are lost, so no further request can be read
+		c.flooded(err)
+	}
+	if err := c.endPart(readsHead); err != nil {
+		return 0, err
+	}
+	return n, nil
+}
+
+// beginPart records that bytes of the current request have arrived, and reports whether they belong to its head.
+func (c *clientConn) beginPart() (readsHead bool) {
+	if c.phase.load() == phaseIdle {
 		c.table.markReading(c)
 	}
-	return n, err
+	return !c.framer.headEnds
+}
+
+// endPart is called before bytes of a request are given to the HTTP server, which parses the bytes of a head as soon as
+// it gets them. It reserves the memory of a head first, and looks for a disconnect behind a complete request.
+func (c *clientConn) endPart(readsHead bool) error {
+	if readsHead {
+		if err := c.admitHead(); err != nil {
+			return err
+		}
+	}
+	if c.framer.isComplete() {
+		c.endBody()
+		c.lookForClose()
+	}
+	return nil
 }
 
 // readTimedOut reads once more, without blocking, in case bytes arrived as the wait timed out: closing a connection
@@ -90,7 +145,7 @@
 	switch {
 	case errors.Is(err, syscall.EAGAIN):
 		if c.phase.load() == phaseReading {
-			c.rejectIncomplete(c.table.incompleteStatus(c))
+			c.rejectIncomplete(c.timeoutStatus())
 		}
 		return 0, timeout
 	case n == 0 && err == nil:
@@ -99,14 +154,29 @@
 	return n, err
 }
 
-// rejectIncomplete answers a request whose header is still incomplete when the gateway stops waiting for the rest. The
-// HTTP server would close the connection without an answer. A client that has just sent the last byte could not
+// timeoutStatus returns the HTTP status for a request whose rest did not arrive in time, and counts a request that was
+// given up early, since another one waited for its memory or its slot.
+func (c *clientConn) timeoutStatus() int {
+	if c.readDeadlineAhead() {
+		c.table.metrics.add(requestsStalled)
+		return http.StatusServiceUnavailable
+	}
+	return c.table.incompleteStatus(c)
+}
+
+// rejectIncomplete answers a request whose head is still incomplete when the gateway stops waiting for the rest, or whose
+// head is not passed on. The HTTP server would close the connection without an answer. A client that has just sent the last byte could not
 // distinguish that close from the loss of its request. After the answer, rejectIncomplete reads and discards bytes
 // for lingerTime at most: closing a connection with unread bytes resets it, and the client might lose the answer.
 func (c *clientConn) rejectIncomplete(status int) {
 	c.table.metrics.add(requestsIncomplete)
 	c.Conn.SetDeadline(time.Now().Add(lingerTime))
-	fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status))
+	retryAfter := ""
+	if status == http.StatusServiceUnavailable && c.table.retryAfter != "" {
+		retryAfter = "Retry-After: " + c.table.retryAfter + "\r\n"
+	}
+	fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\n%sConnection: close\r\nContent-Length: 0\r\n\r\n", status,
+		http.StatusText(status), retryAfter)
 	c.CloseWrite()
 	io.Copy(io.Discard, io.LimitReader(c.Conn, maxLingerBytes)) // the error needs no handling: it only ends the read
 }
@@ -120,9 +190,9 @@
 	return nil
 }
 
-// takeFirstRequestDelay returns firstRequestDelay and sets it to 0.
-func (c *clientConn) takeFirstRequestDelay() time.Duration {
-	delay := c.firstRequestDelay
-	c.firstRequestDelay = 0
+// takeRequestDelay returns requestDelay and sets it to 0.
+func (c *clientConn) takeRequestDelay() time.Duration {
+	delay := c.requestDelay
+	c.requestDelay = 0
 	return delay
 }
--- a/internal/gateway/clientconnections.go
+++ b/internal/gateway/clientconnections.go
@@ -22,10 +22,14 @@
 // without an open request. The connections without activity for the longest time are evicted first.
 type clientConnections struct {
 	net.Listener
-	maxConns  int
-	metrics   *metrics
-	memory    *memoryBudget // for the bytes of requests
-	log       *slog.Logger
+	maxConns int
+	metrics  *metrics
+	memory   *memoryBudget // for the bytes of requests
+	log      *slog.Logger
+
+	retryAfter  string        // Retry-After of answers to requests that are not read to their end; "": none
+	maxHeadWait time.Duration // longest wait of a request's head for memory
+
 	slotFreed chan struct{} // receives an element when a connection is removed
 
 	// Owned by the goroutine that calls Accept:
@@ -128,7 +132,8 @@
 // remove the connection from the idle list and from closingCount.
 func (c *clientConnections) remove(conn *clientConn) {
 	c.markActive(conn)
-	conn.freePipelined()
+	conn.unread.free()
+	conn.headMemory.release()
 	delete(c.conns, conn)
 	select {
 	case c.slotFreed <- struct{}{}:
--- a/internal/gateway/clientphase.go
+++ b/internal/gateway/clientphase.go
@@ -104,7 +104,7 @@
 func (c *clientConnections) markAnswered(conn *clientConn) {
 	c.markIdle(conn)
 	switch {
-	case len(conn.pipelined) > 0:
+	case len(conn.unread.bytes) > 0:
 		conn.phase.store(phaseReading)
 	case c.draining:
 		c.closeWhenIdle(conn)
--- a/internal/gateway/decode.go
+++ b/internal/gateway/decode.go
@@ -63,7 +63,7 @@
 	}
 	receivedAt := body.receivedAt // the client's timeout counts from the last byte of its request
 	if conn := clientConnOf(r); conn != nil {
-		receivedAt -= conn.takeFirstRequestDelay().Seconds()
+		receivedAt -= conn.takeRequestDelay().Seconds()
 	}
 	http.NewResponseController(w).SetReadDeadline(time.Time{})
 	policyRequest.SentAt = receivedAt
@@ -77,6 +77,7 @@
 		header:        forwardedHeaders(r.Header),
 		body:          body.bytes,
 		memory:        body.memory,
+		headMemory:    takeHeadMemory(r),
 		response:      make(chan clientResponse, 1),
 	}
 	req.addOwner()
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -33,6 +33,11 @@
 
 // ServeHTTP handles one request of a client.
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	conn := clientConnOf(r)
+	defer conn.headMemory.release() // does nothing if the request has taken the memory
+	if conn.framer.isUnframed() || conn.clientGone {
+		w.Header().Set("Connection", "close") // no further request can be read
+	}
 	if r.URL.Path == readyPath {
 		f.serveReadiness(w)
 		return
@@ -43,10 +48,9 @@
 		return
 	}
 	defer req.removeOwner()
-	conn := clientConnOf(r)
-	if peerClosed(conn.Conn) {
-		// The client may have disconnected while its connection waited to be accepted, before the HTTP server began to
-		// watch for a disconnect.
+	if conn.clientGone {
+		// The client may have disconnected while its request waited to be read, before the HTTP server began to watch for a
+		// disconnect.
 		f.answerDisconnected(w)
 		return
 	}
@@ -91,9 +95,17 @@
 
 // setRetryAfter makes a rejection for lack of capacity say when the client may retry, if the deployment allows it.
 func (f *frontend) setRetryAfter(w http.ResponseWriter) {
-	if f.deployment.CanSendRetryAfter && f.deployment.MaxRetryAfter > 0 {
-		w.Header().Set("Retry-After", formatRetryAfter(f.deployment.MaxRetryAfter))
+	if value := f.retryAfter(); value != "" {
+		w.Header().Set("Retry-After", value)
+	}
+}
+
+// retryAfter returns the value of Retry-After in rejections for lack of capacity; "" if the deployment allows none.
+func (f *frontend) retryAfter() string {
+	if !f.deployment.CanSendRetryAfter || f.deployment.MaxRetryAfter <= 0 {
+		return ""
 	}
+	return formatRetryAfter(f.deployment.MaxRetryAfter)
 }
 
 // rejectLate rejects a request that arrives too late in a graceful shutdown: the request might still be open when the
--- a/internal/gateway/frontend_test.go
+++ b/internal/gateway/frontend_test.go
@@ -171,7 +171,7 @@
 	conn, _ := g.sendRequest(t, requestText("GET", "lookup", ""))
 	_, reader := backend.accept(t)
 	readRequest(t, reader)
-	go io.WriteString(conn, strings.Repeat("x", 4*maxPipelinedBytes)) // ends at the latest when conn is closed
+	go io.WriteString(conn, strings.Repeat("x", 4*maxUnreadBytes)) // ends at the latest when conn is closed
 	if _, err := reader.ReadByte(); err != io.EOF {
 		t.Errorf("read error on the attempt's connection: %v, want EOF", err)
 	}
--- a/internal/gateway/memorybudget.go
+++ b/internal/gateway/memorybudget.go
@@ -170,6 +170,14 @@
 	bytes  int64
 }
 
+// shrink returns the memory beyond bytes to its budget.
+func (r *reservation) shrink(bytes int64) {
+	if r.budget != nil && bytes < r.bytes {
+		r.budget.giveBack(r.bytes - bytes)
+		r.bytes = bytes
+	}
+}
+
 // release returns the memory to its budget. Further calls do nothing.
 func (r *reservation) release() {
 	if r.budget != nil {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -28,6 +28,7 @@
 	requestsIncomplete           // requests whose header was not complete in time, answered 408 or 503
 	requestsOverMemory           // requests for which no memory became free in time, answered 503
 	requestsStalled              // requests whose body stopped arriving while others waited for memory, answered 503
+	requestsTooManyFields        // requests with too many header fields, answered 431
 	requestsConflicting          // requests whose correlation id is in use, answered 409
 	requestsOverOpenLimit        // requests above the limit of open requests, answered 503
 	requestsWhileDraining        // requests that arrived too late in a graceful shutdown, answered 503
@@ -50,6 +51,7 @@
 	requestsIncomplete:    "requests.incomplete",
 	requestsOverMemory:    "requests.over_memory",
 	requestsStalled:       "requests.stalled",
+	requestsTooManyFields: "requests.too_many_fields",
 	requestsConflicting:   "requests.conflict",
 	requestsOverOpenLimit: "requests.over_open_limit",
 	requestsWhileDraining: "requests.while_draining",
--- a/internal/gateway/readdeadline.go
+++ b/internal/gateway/readdeadline.go
@@ -9,14 +9,14 @@
 // aLongTimeAgo is a deadline in the past, which ends a wait at once.
 var aLongTimeAgo = time.Unix(1, 0)
 
-// readBytes reads bytes from the socket. While a body is read that holds memory of a budget, the wait for bytes ends
-// with a timeout as soon as it has lasted for maxBodyStall and another request waits for memory. Otherwise, clients that
-// stop in the middle of a body could keep the memory until their read timeout.
+// readBytes reads bytes from the socket. While a request is read that holds memory of a budget, the wait for bytes ends
+// with a timeout as soon as it has lasted for maxStall and another request waits for memory. Otherwise, clients that
+// stop in the middle of a request could keep the memory until their read timeout.
 func (c *clientConn) readBytes(p []byte) (int, error) {
 	for {
-		budget := c.bodyBudget.Load()
+		budget := c.incompleteBudget.Load()
 		if budget != nil {
-			c.setWakeAt(time.Now().Add(maxBodyStall))
+			c.setWakeAt(time.Now().Add(maxStall))
 		}
 		n, err := c.Conn.Read(p)
 		mayWaitOn := budget != nil && !budget.hasWaiters() && c.readDeadlineAhead()
@@ -26,12 +26,12 @@
 	}
 }
 
-// beginBody records that a body that has taken memory from budget is being read.
-func (c *clientConn) beginBody(budget *memoryBudget) { c.bodyBudget.Store(budget) }
+// beginBody records that a request that has taken memory from budget is being read.
+func (c *clientConn) beginBody(budget *memoryBudget) { c.incompleteBudget.Store(budget) }
 
-// endBody records that no body is being read any more.
+// endBody records that the request has been read, or is not read any more.
 func (c *clientConn) endBody() {
-	if c.bodyBudget.Swap(nil) != nil {
+	if c.incompleteBudget.Swap(nil) != nil {
 		c.setWakeAt(time.Time{})
 	}
 }
--- a/internal/gateway/requestbody.go
+++ b/internal/gateway/requestbody.go
@@ -17,8 +17,8 @@
 	// maxMemoryWaitShare is the largest share of a client's timeout that its request waits for memory. It is below a half:
 	// a rejection after half of the timeout costs a part of the request's weight.
 	maxMemoryWaitShare = 0.4
-	// maxBodyStall is the longest wait for the next bytes of a body while another request waits for memory.
-	maxBodyStall = 250 * time.Millisecond
+	// maxStall is the longest wait for the next bytes of a request that holds memory while another request waits for memory.
+	maxStall = 250 * time.Millisecond
 )
 
 // errBodyStalled is returned for a body whose rest did not arrive while another request waited for memory.
@@ -51,12 +51,16 @@
 }
 
 // reserveMemory reserves the memory that a request needs beyond unreservedRequestBytes. It waits until the read deadline
-// of the connection at most, and no longer than maxMemoryWaitShare of the client's timeout.
+// of the connection at most, and no longer than maxMemoryWaitShare of the client's timeout. A request whose head holds
+// memory does not wait: if all memory were held by such heads, all of them would wait for each other.
 func (f *frontend) reserveMemory(r *http.Request, timeout float64) (reservation, error) {
 	size := requestSize(r)
 	if size <= unreservedRequestBytes {
 		return reservation{}, nil
 	}
+	if conn := clientConnOf(r); conn != nil && conn.headMemory.budget != nil {
+		return f.reserveBehindHead(r.ContentLength)
+	}
 	waitUntil := time.Now().Add(toDuration(timeout * maxMemoryWaitShare))
 	if conn := clientConnOf(r); conn != nil {
 		waitUntil = conn.readDeadlineBefore(waitUntil)
@@ -66,6 +70,18 @@
 	return f.memory.reserve(ctx, size)
 }
 
+// reserveBehindHead reserves the memory of a body whose head holds memory.
+func (f *frontend) reserveBehindHead(bodyBytes int64) (reservation, error) {
+	if bodyBytes <= unreservedRequestBytes {
+		return reservation{}, nil
+	}
+	memory, free := f.memory.tryReserve(bodyBytes)
+	if !free {
+		return reservation{}, errMemoryExhausted
+	}
+	return memory, nil
+}
+
 // requestSize returns the number of bytes of a request's target, header and body.
 func requestSize(r *http.Request) int64 {
 	return int64(len(r.RequestURI)) + headerSize(r.Header) + r.ContentLength
--- a/internal/gateway/requestbody_test.go
+++ b/internal/gateway/requestbody_test.go
@@ -159,15 +159,15 @@
 	g := startTestGatewayWith(t, lowMemory, backend)
 	text := requestText("POST", "payment", longBody)
 	conn, answers := g.sendRequest(t, text[:len(text)/2])
-	time.Sleep(3 * maxBodyStall)
+	time.Sleep(3 * maxStall)
 	io.WriteString(conn, text[len(text)/2:len(text)-1])
-	time.Sleep(2 * maxBodyStall) // the last byte arrives shortly before or after a wait for bytes is interrupted
+	time.Sleep(2 * maxStall) // the last byte arrives shortly before or after a wait for bytes is interrupted
 	io.WriteString(conn, text[len(text)-1:])
 	backendConn, reader := backend.accept(t)
 	if _, body := readRequest(t, reader); len(body) != len(longBody) {
 		t.Errorf("%d bytes of the body arrived, want %d", len(body), len(longBody))
 	}
-	time.Sleep(2 * maxBodyStall) // the watch for a disconnect must not be interrupted
+	time.Sleep(2 * maxStall) // the watch for a disconnect must not be interrupted
 	respondOK(backendConn, "paid")
 	expectStatus(t, answers, http.StatusOK)
 }
@@ -181,7 +181,7 @@
 	g := startTestGatewayWith(t, lowMemory, backend)
 	budget := g.requestMemory()
 	flooded := &g.server.frontend.loop.metrics.counts[connectionsFlooded]
-	next := requestText("POST", "payment", strings.Repeat("x", 2*unreservedPipelinedBytes))
+	next := requestText("POST", "payment", strings.Repeat("x", 2*unreservedUnreadBytes))
 	conn, first := g.sendRequest(t, requestText("GET", "lookup", ""))
 	backendConn, _ := backend.acceptRequest(t)
 	io.WriteString(conn, next)
@@ -207,7 +207,7 @@
 	defer held.release()
 	fewBytes, _ := g.sendRequest(t, requestText("GET", "lookup", ""))
 	_, fewReader := backend.acceptRequest(t)
-	io.WriteString(fewBytes, next[:unreservedPipelinedBytes-1])
+	io.WriteString(fewBytes, next[:unreservedUnreadBytes-1])
 	manyBytes, _ := g.sendRequest(t, requestText("GET", "lookup", ""))
 	_, manyReader := backend.acceptRequest(t)
 	io.WriteString(manyBytes, next)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -70,6 +70,8 @@
 	s.clientConnections.metrics = &loop.metrics
 	s.clientConnections.memory = s.frontend.memory
 	s.clientConnections.log = s.log
+	s.clientConnections.retryAfter = s.frontend.retryAfter()
+	s.clientConnections.maxHeadWait = toDuration(config.shortestDeadline() * maxMemoryWaitShare)
 	maxRequestTime := config.longestDeadline() + toDuration(config.AnswerSlack)
 	s.httpServer = s.frontend.newHTTPServer(s.clientConnections, maxRequestTime)
 	s.httpServer.ErrorLog = slog.NewLogLogger(s.log.Handler(), slog.LevelWarn)
