Bound the heads of responses of backends, counter and discovery in parsed form

A backend's head was limited to 128 KiB for each attempt in flight, one of the counter to 16 KiB on up to 32 connections, one of discovery by net/http's default of 10 MB. Change: responseReader counts the fields before the parser gets them (100, and 16 KiB, then the attempt may have run), takes the memory of a long head from the budget of responses, and frees it with the response. The counter's responses are limited to 4 KiB, heads of discovery to 8 KiB. TestResponseHeadsAreBounded: before, heads of over 100 fields were parsed and served with 200.

--- a/internal/gateway/backendconn.go
+++ b/internal/gateway/backendconn.go
@@ -28,24 +28,24 @@
 // idleSince; the other fields belong to the attempt that uses the connection.
 type backendConn struct {
 	net.Conn
-	responseLimit *io.LimitedReader // reads from Conn and limits the size of a response
-	reader        *bufio.Reader     // reads from responseLimit
-	writer        *bufio.Writer     // writes to Conn
-	memory        *memoryBudget     // for the bytes of responses
-	endpoint      *endpoint         // endpoint to which the connection was dialed; constant
-	idleSince     time.Time         // start of the idle time; zero while an attempt uses the connection
-	idleFor       time.Duration     // idle time before the current use; 0 for a new connection
+	responses *responseReader // reads from Conn
+	reader    *bufio.Reader   // reads from responses
+	writer    *bufio.Writer   // writes to Conn
+	memory    *memoryBudget   // for the bytes of responses
+	endpoint  *endpoint       // endpoint to which the connection was dialed; constant
+	idleSince time.Time       // start of the idle time; zero while an attempt uses the connection
+	idleFor   time.Duration   // idle time before the current use; 0 for a new connection
 }
 
 func newBackendConn(conn net.Conn, e *endpoint, memory *memoryBudget) *backendConn {
-	responseLimit := &io.LimitedReader{R: conn}
+	responses := &responseReader{limit: io.LimitedReader{R: conn}, budget: memory}
 	return &backendConn{
-		Conn:          conn,
-		responseLimit: responseLimit,
-		reader:        bufio.NewReader(responseLimit),
-		writer:        bufio.NewWriter(conn),
-		memory:        memory,
-		endpoint:      e,
+		Conn:      conn,
+		responses: responses,
+		reader:    bufio.NewReader(responses),
+		writer:    bufio.NewWriter(conn),
+		memory:    memory,
+		endpoint:  e,
 	}
 }
 
@@ -64,6 +64,8 @@
 // the connection may be reused. If the result has memory, the caller must release it. readResponse waits for memory
 // until ctx ends.
 func (c *backendConn) readResponse(ctx context.Context, method string) (result attemptResult, reusable bool) {
+	c.responses.reset(ctx)
+	defer func() { c.responses.headMemory.release() }() // does nothing if the result has the memory
 	resp, err := c.readFinalResponse(ctx, &http.Request{Method: method})
 	if err != nil {
 		return attemptResult{outcome: readErrorOutcome(err)}, false
@@ -86,7 +88,6 @@
 
 // readFinalResponse skips interim (1xx) responses and reads the final response and its body.
 func (c *backendConn) readFinalResponse(ctx context.Context, request *http.Request) (receivedResponse, error) {
-	c.responseLimit.N = maxResponseBytes
 	for range maxInterimResponses {
 		resp, err := http.ReadResponse(c.reader, request)
 		if err != nil {
@@ -112,6 +113,7 @@
 	if err != nil {
 		return receivedResponse{}, err
 	}
+	memory.merge(c.responses.takeHeadMemory())
 	body, err := readBody(resp.Body, resp.ContentLength)
 	if err != nil {
 		memory.release()
@@ -121,12 +123,16 @@
 }
 
 // reserveMemory reserves the memory that a response needs beyond unreservedResponseBytes. A body without a stated length
-// counts as maxBodyBytes. While reserveMemory waits, the rest of the response stays in the socket.
+// counts as maxBodyBytes. While reserveMemory waits, the rest of the response stays in the socket. A response whose head
+// holds memory does not wait (see memoryBudget.reserveMore).
 func (c *backendConn) reserveMemory(ctx context.Context, resp *http.Response) (reservation, error) {
 	bodyBytes := resp.ContentLength
 	if bodyBytes < 0 {
 		bodyBytes = maxBodyBytes
 	}
+	if c.responses.headMemory.budget != nil {
+		return c.memory.reserveMore(bodyBytes)
+	}
 	size := headerSize(resp.Header) + bodyBytes
 	if size <= unreservedResponseBytes {
 		return reservation{}, nil
@@ -136,7 +142,7 @@
 
 // noResponseYet reports whether no byte of a response has arrived since the last call of readResponse began. It may
 // be called after readResponse has returned.
-func (c *backendConn) noResponseYet() bool { return c.responseLimit.N == maxResponseBytes }
+func (c *backendConn) noResponseYet() bool { return c.responses.limit.N == maxResponseBytes }
 
 // responseOutcome returns the outcome of an attempt that got a complete response. Only status 503 or 504 with the value
 // "1" in unprocessedHeader proves that the backend has executed nothing of the request.
--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -17,10 +17,9 @@
 	header        http.Header // headers to forward to the backend
 	body          []byte
 
-	// memory, headMemory and responseMemory are the memory that the bytes of the request and of its answer occupy. They are released
+	// memory and responseMemory are the memory that the bytes of the request and of its answer occupy. They are released
 	// by the last owner of the request. The event loop sets responseMemory before it sends the answer.
 	memory         reservation
-	headMemory     reservation // for a long head; memory is then for the body alone
 	responseMemory reservation
 	// owners is the number of goroutines that use the request: its handler, and the event loop while the request is
 	// open.
@@ -48,7 +47,6 @@
 func (req *clientRequest) removeOwner() {
 	if req.owners.Add(-1) == 0 {
 		req.memory.release()
-		req.headMemory.release()
 		req.responseMemory.release()
 	}
 }
--- a/internal/gateway/counterconn.go
+++ b/internal/gateway/counterconn.go
@@ -18,7 +18,7 @@
 const (
 	countPath               = "/v1/count/"
 	counterIOTimeout        = 1 * time.Second // timeout of a write, and minimum of counterConn.responseTimeout
-	maxCounterResponseBytes = 16 << 10        // bytes; maximum size of a response, with its headers
+	maxCounterResponseBytes = 4 << 10         // bytes; maximum size of a response, with its headers
 )
 
 // countRequest is passed to http.ReadResponse as the request of every call. The method POST means that the response may
--- a/internal/gateway/decode.go
+++ b/internal/gateway/decode.go
@@ -77,7 +77,6 @@
 		header:        forwardedHeaders(r.Header),
 		body:          body.bytes,
 		memory:        body.memory,
-		headMemory:    takeHeadMemory(r),
 		response:      make(chan clientResponse, 1),
 	}
 	req.addOwner()
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -13,6 +13,7 @@
 const (
 	endpointsPath         = "/registry/instances"
 	maxListBytes          = 4 << 20          // bytes; maximum size of a response body
+	maxListHeaderBytes    = 8 << 10          // bytes; maximum size of a response's header
 	maxDiscoveryConns     = 2                // maximum number of connections, to save file descriptors
 	discoveryWarnInterval = 10 * time.Second // minimum time between log lines about failed polls
 )
@@ -57,7 +58,11 @@
 func newDiscoveryWatcher(
 	address string, drainGrace time.Duration, listInUse bool, onList func(EndpointList),
 ) *discoveryWatcher {
-	transport := &http.Transport{DisableCompression: true, MaxConnsPerHost: maxDiscoveryConns}
+	transport := &http.Transport{
+		DisableCompression:     true,
+		MaxConnsPerHost:        maxDiscoveryConns,
+		MaxResponseHeaderBytes: maxListHeaderBytes,
+	}
 	return &discoveryWatcher{
 		address:   address,
 		timeouts:  newPollTimeouts(drainGrace),
--- a/internal/gateway/headscanner.go
+++ b/internal/gateway/headscanner.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"strconv"
+	"strings"
 )
 
 // Limits on the head of a message: its first line and its header fields.
@@ -33,6 +34,7 @@
 	line       [maxFramingLine]byte // beginning of the current line
 	lineLength int                  // length of the current line so far; may exceed maxFramingLine
 
+	firstLine     string // beginning of the first line
 	contentLength int64  // stated length of the body; 0 if none is stated
 	hasLength     bool   // a length is stated
 	unframed      bool   // the end of the body can't be told from the head
@@ -75,7 +77,7 @@
 	case len(text) == 0:
 		return h.fields > 0
 	case h.fields == 0:
-		// The first line is no field.
+		h.firstLine = string(text)
 	case text[0] == ' ' || text[0] == '\t':
 		h.unframed = true // the line continues the field before it, which may be about the body
 	default:
@@ -101,6 +103,12 @@
 	}
 }
 
+// isInterimResponse reports whether the first line is that of an interim (1xx) response.
+func (h *headScanner) isInterimResponse() bool {
+	_, status, _ := strings.Cut(h.firstLine, " ")
+	return strings.HasPrefix(strings.TrimLeft(status, " "), "1")
+}
+
 // isTooLong reports whether the head has too many fields.
 func (h *headScanner) isTooLong() bool { return h.fields > maxHeadFields }
 
--- a/internal/gateway/memorybudget.go
+++ b/internal/gateway/memorybudget.go
@@ -102,6 +102,23 @@
 	return reservation{b, bytes}, true
 }
 
+// unreservedPartBytes is the size of the next part of a message up to which reserveMore reserves nothing.
+const unreservedPartBytes = 4 << 10
+
+// reserveMore reserves memory for the next part of a message that holds memory already. It doesn't wait: if all memory
+// were held by such messages, all of them would wait for each other. The error is errMemoryExhausted, which may be
+// wrapped.
+func (b *memoryBudget) reserveMore(bytes int64) (reservation, error) {
+	if bytes <= unreservedPartBytes {
+		return reservation{}, nil
+	}
+	memory, free := b.tryReserve(bytes)
+	if !free {
+		return reservation{}, fmt.Errorf("%s: %w", b.kind, errMemoryExhausted)
+	}
+	return memory, nil
+}
+
 // take takes bytes if they are free, and reports whether it did. The caller holds mu.
 func (b *memoryBudget) take(bytes int64) bool {
 	held := b.held.Load()
@@ -170,6 +187,15 @@
 	bytes  int64
 }
 
+// merge adds the memory of another reservation of the same budget, which must not be released afterwards.
+func (r *reservation) merge(other reservation) {
+	if r.budget == nil {
+		*r = other
+		return
+	}
+	r.bytes += other.bytes
+}
+
 // shrink returns the memory beyond bytes to its budget.
 func (r *reservation) shrink(bytes int64) {
 	if r.budget != nil && bytes < r.bytes {
--- a/internal/gateway/requestbody.go
+++ b/internal/gateway/requestbody.go
@@ -46,20 +46,21 @@
 		memory.release()
 		return receivedBody{}, err
 	}
+	memory.merge(takeHeadMemory(r))
 	// The last byte may have arrived before the wait for memory.
 	return receivedBody{bytes: body, memory: memory, receivedAt: f.loop.clock.now() - waited}, nil
 }
 
 // reserveMemory reserves the memory that a request needs beyond unreservedRequestBytes. It waits until the read deadline
 // of the connection at most, and no longer than maxMemoryWaitShare of the client's timeout. A request whose head holds
-// memory does not wait: if all memory were held by such heads, all of them would wait for each other.
+// memory does not wait (see memoryBudget.reserveMore).
 func (f *frontend) reserveMemory(r *http.Request, timeout float64) (reservation, error) {
 	size := requestSize(r)
 	if size <= unreservedRequestBytes {
 		return reservation{}, nil
 	}
 	if conn := clientConnOf(r); conn != nil && conn.headMemory.budget != nil {
-		return f.reserveBehindHead(r.ContentLength)
+		return f.memory.reserveMore(r.ContentLength)
 	}
 	waitUntil := time.Now().Add(toDuration(timeout * maxMemoryWaitShare))
 	if conn := clientConnOf(r); conn != nil {
@@ -70,18 +71,6 @@
 	return f.memory.reserve(ctx, size)
 }
 
-// reserveBehindHead reserves the memory of a body whose head holds memory.
-func (f *frontend) reserveBehindHead(bodyBytes int64) (reservation, error) {
-	if bodyBytes <= unreservedRequestBytes {
-		return reservation{}, nil
-	}
-	memory, free := f.memory.tryReserve(bodyBytes)
-	if !free {
-		return reservation{}, errMemoryExhausted
-	}
-	return memory, nil
-}
-
 // requestSize returns the number of bytes of a request's target, header and body.
 func requestSize(r *http.Request) int64 {
 	return int64(len(r.RequestURI)) + headerSize(r.Header) + r.ContentLength
--- a/internal/gateway/requesthead_test.go
+++ b/internal/gateway/requesthead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -224,3 +225,66 @@
 		}
 	}
 }
+
+// The head of a response is bounded like that of a request: one with too many fields, complete or not, is an error after
+// which the request may have run, and a long one takes memory of the budget of responses before it is parsed. Interim
+// responses count each on its own.
+func TestResponseHeadsAreBounded(t *testing.T) {
+	t.Parallel()
+	const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+	interim := "HTTP/1.1 103 Early Hints\r\n" + shortFields(maxHeadFields/2) + "\r\n"
+	body := strings.Repeat("\n", 2*maxHeadFields) // lines of a body are no fields
+	for name, c := range map[string]struct {
+		response string
+		status   int
+		reserves bool
+	}{
+		"short":                  {ok + "\r\nok", http.StatusOK, false},
+		"many fields":            {ok + shortFields(maxHeadFields-2) + "\r\nok", http.StatusOK, true},
+		"too many fields":        {ok + shortFields(maxHeadFields) + "\r\nok", http.StatusBadGateway, false},
+		"too many, no end":       {ok + shortFields(maxHeadFields), http.StatusBadGateway, false},
+		"too long":               {ok + "A: " + strings.Repeat("x", maxHeaderBytes) + "\r\n\r\nok", http.StatusBadGateway, true},
+		"three interim ones":     {interim + interim + interim + ok + "\r\nok", http.StatusOK, true},
+		"a body of many lines":   {"HTTP/1.1 200 OK\r\nContent-Length: 200\r\n\r\n" + body, http.StatusOK, false},
+		"long with a long body":  {"HTTP/1.1 200 OK\r\nContent-Length: 8192\r\n" + shortFields(40) + "\r\n" + strings.Repeat("b", 8192), http.StatusOK, true},
+		"chunked, body of lines": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nc8\r\n" + body + "\r\n0\r\n\r\n", http.StatusOK, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			backend := newPeer(t)
+			g := startTestGateway(t, backend)
+			_, answers := g.sendRequest(t, requestText("POST", "payment", "x"))
+			conn, _ := backend.acceptRequest(t)
+			io.WriteString(conn, c.response)
+			expectStatus(t, answers, c.status)
+			g.expectMemoryReleased(t)
+			if reserved := g.responseMemory().peak.Load() > 0; reserved != c.reserves {
+				t.Errorf("memory was reserved %t, want %t", reserved, c.reserves)
+			}
+		})
+	}
+}
+
+// A response's head for which no memory becomes free until the attempt's deadline ends the attempt, and a response that
+// holds memory for its head never waits for that of its body.
+func TestResponseHeadsWaitForMemory(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	g := startTestGatewayWith(t, lowMemory, backend)
+	held := g.responseMemory().exhaust(t)
+	_, answers := g.sendRequest(t, requestText("POST", "payment", "x", timeLeftHeader, "300"))
+	conn, _ := backend.acceptRequest(t)
+	io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"+shortFields(unreservedHeadFields)+"\r\nok")
+	expectStatus(t, answers, http.StatusBadGateway)
+	held.release()
+	g.expectMemoryReleased(t)
+
+	var budget = newMemoryBudget(responsesKind, 100, g.server.log)
+	head, _ := budget.reserve(t.Context(), 50)
+	if _, err := budget.reserveMore(unreservedPartBytes + 1); !errors.Is(err, errMemoryExhausted) {
+		t.Errorf("more than is free: %v", err)
+	}
+	if more, err := budget.reserveMore(unreservedPartBytes); err != nil || more.budget != nil {
+		t.Errorf("a short part: %v, %v", more, err)
+	}
+	head.release()
+}
