Add up all memory that other parties choose, measured in its worst shape

Seen: a connection of a client was counted as 24 KiB. The shares of memory added up to 0.65 of the limit without the ids of requests, the runtime's own tables and room for garbage, beside a runtime limit of 0.7. Cause: the shares were divided among what limits.go named; constants were estimates. TestMemorySharesFitOnHeap becomes TestLimitsFitInMemoryTogether, which also wants room for garbage and for one head and body of the largest size.

--- a/internal/gateway/config_test.go
+++ b/internal/gateway/config_test.go
@@ -109,7 +109,7 @@
 		{32, 256, 144},
 		{32, 1024, 341},
 	} {
-		if got := (&Config{MemoryMB: c.memoryMB, Sockets: c.sockets}).maxClientConns(); got != c.want {
+		if got := (&Config{MemoryMB: c.memoryMB, Sockets: c.sockets}).limits().clientConns; got != c.want {
 			t.Errorf("%d MB, %d sockets: %d, want %d", c.memoryMB, c.sockets, got, c.want)
 		}
 	}
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -27,7 +27,7 @@
 func newFrontend(config *Config) *frontend {
 	return &frontend{
 		deployment: &config.Deployment,
-		memory:     newMemoryBudget(requestsKind, config.requestBytes(), config.logger()),
+		memory:     newMemoryBudget(requestsKind, config.limits().requestBytes, config.logger()),
 	}
 }
 
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -6,49 +6,63 @@
 	clientFDShare = 0.75 // share of the other file descriptors that clients may use; backends get the rest
 )
 
-// Parameters that divide the memory. The shares are parts of the memory limit. What is limited by them must fit on the
-// heap together.
+// Parameters of the memory that may be in use at once.
 const (
-	heapShare          = 0.7  // for all memory of the Go runtime; sockets, the binary and the C library need the rest
-	clientMemoryShare  = 0.25 // for client connections, with a short request each
-	backendMemoryShare = 0.1  // for idle connections to backends
-	customerShare      = 0.1  // for the state of customers
-	requestShare       = 0.1  // for requests above unreservedRequestBytes
-	responseShare      = 0.1  // for responses above unreservedResponseBytes
+	heapShare    = 0.75    // part of the memory limit for the Go runtime; threads, the binary and the C library need the rest
+	runtimeBytes = 5 << 20 // for the runtime's own tables and caches, and for all that grows neither with clients nor backends
+	liveShare    = 0.85    // part of the other memory that may be live; garbage and parts of spans that are not used need the rest
+)
+
+// Parts of the live memory. Connections get their parts at most, since file descriptors limit them as well.
+const (
+	clientConnShare  = 0.62
+	backendConnShare = 0.10
+	recentIDShare    = 0.03
+)
+
+// Parts of the live memory that the shares above leave. They add up to 1.
+const (
+	requestShare  = 0.35 // for requests beyond what clientConnBytes allows for
+	responseShare = 0.27 // for responses beyond what backendConnBytes allows for
+	customerShare = 0.38
 )
 
 // Memory of single objects in bytes.
 const (
-	clientConnBytes  = 24 << 10 // a connection of a client: two buffers, stacks, table entries and a short request
-	backendConnBytes = 10 << 10 // an idle connection to a backend: two buffers and table entries
+	clientConnBytes  = 30 << 10 // a connection of a client: three buffers, stacks and a short request
+	backendConnBytes = 14 << 10 // a connection to a backend: two buffers, a stack and a short response
 	customerBytes    = 1280     // the state of a customer
+	recentIDBytes    = 48       // an entry of recentIDs
 )
 
-// memoryFor returns a share of the memory limit in bytes.
-func (c *Config) memoryFor(share float64) int64 { return int64(share * float64(c.MemoryMB<<20)) }
+// limits are the limits that follow from the memory and the file descriptors of the process.
+type limits struct {
+	clientConns   int   // connections of clients
+	backendConns  int   // connections to backends
+	recentIDs     int   // entries of recentIDs
+	customers     int   // customers whose state is kept
+	requestBytes  int64 // memory of long requests
+	responseBytes int64 // memory of long responses
+}
 
 // HeapLimit returns the number of bytes that the Go runtime may use.
-func (c *Config) HeapLimit() int64 { return c.memoryFor(heapShare) }
+func (c *Config) HeapLimit() int64 { return int64(heapShare * float64(c.MemoryMB<<20)) }
 
-// maxClientConns returns the number of client connections that the limits allow.
-func (c *Config) maxClientConns() int {
-	bySockets := int(clientFDShare * float64(c.Sockets-reservedFDs))
-	byMemory := int(c.memoryFor(clientMemoryShare) / clientConnBytes)
-	return min(bySockets, byMemory)
-}
+// liveBytes returns the number of bytes that may be live beside runtimeBytes.
+func (c *Config) liveBytes() float64 { return liveShare * float64(c.HeapLimit()-runtimeBytes) }
 
-// maxBackendConns returns the number of connections to backends that the limits allow.
-func (c *Config) maxBackendConns() int {
-	bySockets := c.Sockets - reservedFDs - c.maxClientConns()
-	byMemory := int(c.memoryFor(backendMemoryShare) / backendConnBytes)
-	return min(bySockets, byMemory)
+// limits returns the limits. All that they allow fits in liveBytes together.
+func (c *Config) limits() limits {
+	live := c.liveBytes()
+	var l limits
+	descriptors := c.Sockets - reservedFDs
+	l.clientConns = min(int(clientFDShare*float64(descriptors)), int(clientConnShare*live/clientConnBytes))
+	l.backendConns = min(descriptors-l.clientConns, int(backendConnShare*live/backendConnBytes))
+	l.recentIDs = int(recentIDShare * live / recentIDBytes)
+	rest := live - float64(l.clientConns)*clientConnBytes - float64(l.backendConns)*backendConnBytes -
+		float64(l.recentIDs)*recentIDBytes
+	l.requestBytes = int64(requestShare * rest)
+	l.responseBytes = int64(responseShare * rest)
+	l.customers = int(customerShare * rest / customerBytes)
+	return l
 }
-
-// maxCustomers returns the number of customers whose state the memory limit allows.
-func (c *Config) maxCustomers() int { return int(c.memoryFor(customerShare) / customerBytes) }
-
-// requestBytes returns the number of bytes of memory that requests above unreservedRequestBytes may use.
-func (c *Config) requestBytes() int64 { return c.memoryFor(requestShare) }
-
-// responseBytes returns the number of bytes of memory that responses above unreservedResponseBytes may use.
-func (c *Config) responseBytes() int64 { return c.memoryFor(responseShare) }
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -14,28 +14,28 @@
 	"amberlb/policy"
 )
 
-// All that the memory shares limit must fit on the heap together, at any memory limit. The lowest limit still allows work:
-// connections on both sides, and one request and one response of the largest size.
-func TestMemorySharesFitOnHeap(t *testing.T) {
-	const sum = clientMemoryShare + backendMemoryShare + customerShare + requestShare + responseShare
-	if sum > heapShare {
-		t.Errorf("the shares add up to %g, more than the %g of the heap", sum, heapShare)
+// All that the limits allow is live at once at most, and must fit in the memory of the runtime with room for garbage, at
+// any memory limit and any number of descriptors. The lowest limits still allow work: connections on both sides, and a
+// request and a response of the largest size.
+func TestLimitsFitInMemoryTogether(t *testing.T) {
+	if sum := requestShare + responseShare + customerShare; sum > 1.0001 {
+		t.Errorf("the shares of the rest add up to %g", sum)
 	}
-	for _, memoryMB := range []int{minMemoryMB, 32, 48, 192} {
-		for _, sockets := range []int{minSockets, 1024, 1 << 16} {
+	for _, memoryMB := range []int{minMemoryMB, 32, 48, 64, 192} {
+		for _, sockets := range []int{minSockets, 256, 384, 1024, 1 << 16} {
 			c := Config{MemoryMB: memoryMB, Sockets: sockets}
-			used := int64(c.maxClientConns())*clientConnBytes + int64(c.maxBackendConns())*backendConnBytes +
-				int64(c.maxCustomers())*customerBytes + c.requestBytes() + c.responseBytes()
-			if used > c.HeapLimit() {
-				t.Errorf("%d MB, %d sockets: %d bytes may be used, more than the heap's %d", memoryMB, sockets, used, c.HeapLimit())
+			l := c.limits()
+			used := int64(l.clientConns)*clientConnBytes + int64(l.backendConns)*backendConnBytes +
+				int64(l.customers)*customerBytes + int64(l.recentIDs)*recentIDBytes + l.requestBytes + l.responseBytes
+			if maxUsed := int64(liveShare * float64(c.HeapLimit()-runtimeBytes)); used > maxUsed {
+				t.Errorf("%d MB, %d sockets: %d bytes may be used, more than %d", memoryMB, sockets, used, maxUsed)
 			}
-			if descriptors := c.maxClientConns() + c.maxBackendConns() + reservedFDs; descriptors > sockets {
+			if descriptors := l.clientConns + l.backendConns + reservedFDs; descriptors > sockets {
 				t.Errorf("%d MB, %d sockets: %d descriptors may be used", memoryMB, sockets, descriptors)
 			}
-			largest := int64(maxHeaderBytes + maxBodyBytes)
-			if c.maxClientConns() < 1 || c.maxBackendConns() < 1 || c.maxCustomers() < 1 || c.requestBytes() < largest ||
-				c.responseBytes() < maxResponseBytes {
-				t.Errorf("%d MB, %d sockets: no room for work", memoryMB, sockets)
+			if l.clientConns < 1 || l.backendConns < 1 || l.customers < 1 || l.recentIDs < 1 ||
+				l.requestBytes < maxRequestHeadMemory+maxBodyBytes || l.responseBytes < maxResponseHeadMemory+maxBodyBytes {
+				t.Errorf("%d MB, %d sockets: no room for work: %+v", memoryMB, sockets, l)
 			}
 		}
 	}
@@ -53,7 +53,7 @@
 		return strings.Replace(lowMemory(config), `"pays": 1}`, withCeiling, 1)
 	})
 	g.publishBackends(t, backend.Listener.Addr().String())
-	limit := g.server.config.maxCustomers()
+	limit := g.server.config.limits().customers
 	conn, err := net.Dial("tcp", g.address)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -49,24 +49,25 @@
 
 // newServer creates and connects the components of a gateway. The method serve runs them, and closes the listener.
 func newServer(config *Config, listener net.Listener) *server {
+	limits := config.limits()
 	s := &server{
 		config:   config,
 		log:      config.logger(),
 		frontend: newFrontend(config),
-		pools:    newConnectionPools(toDuration(config.ConnectTimeout), toDuration(config.IdleTimeout), config.maxBackendConns()),
+		pools:    newConnectionPools(toDuration(config.ConnectTimeout), toDuration(config.IdleTimeout), limits.backendConns),
 		serveErr: make(chan error, 1),
 	}
-	s.pools.memory = newMemoryBudget(responsesKind, config.responseBytes(), s.log)
+	s.pools.memory = newMemoryBudget(responsesKind, limits.responseBytes, s.log)
 	if config.Settings.HasCounter {
 		s.counter = newCounterClient(config.Counter, toDuration(config.CounterTimeout))
 	}
 	engineConfig := *config
-	engineConfig.Settings.MaxCustomers = config.maxCustomers()
+	engineConfig.Settings.MaxCustomers = limits.customers
 	loop := newEventLoop(&engineConfig, s.pools, s.counter, func() { s.markReady("discovery") })
 	s.frontend.loop = loop
 	s.componentsContext, s.stopComponents = context.WithCancel(context.Background())
 
-	s.clientConnections = newClientConnections(listener, config.maxClientConns())
+	s.clientConnections = newClientConnections(listener, limits.clientConns)
 	s.clientConnections.metrics = &loop.metrics
 	s.clientConnections.memory = s.frontend.memory
 	s.clientConnections.log = s.log
