Remember the ids of forwarded requests until their places are needed, and 10 s at least

Cause: an id was remembered from its arrival on, in windows of 4 s, however long its attempt took; a window of 8,192 ids was cut short, and requests that were turned away or given up took places in it as well, so that others decided how long an id was kept. Change: an id enters when its request has ended and an attempt had been written; it leaves when its place is needed and 10 s have passed. If all places hold younger ids or are kept for open requests, nothing further is begun (503).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -97,6 +97,13 @@
 	a.fullyWritten = true
 }
 
+// mayHaveRun reports whether the request has been fully written to the attempt's backend.
+func (a *attempt) mayHaveRun() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.fullyWritten
+}
+
 // detach separates the connection from the attempt. It returns false if the attempt was cancelled: the cancel has
 // closed the connection, so it can't be reused.
 func (a *attempt) detach() bool {
--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync/atomic"
 
 	"amberlb/policy"
@@ -40,6 +41,11 @@
 	timers           []*scheduledTimer // timers that the engine has set for the request
 }
 
+// wasForwarded reports whether a backend may have executed the request. Only the event loop may call it.
+func (req *clientRequest) wasForwarded() bool {
+	return slices.ContainsFunc(req.attempts, (*attempt).mayHaveRun)
+}
+
 // addOwner records that another goroutine uses the request.
 func (req *clientRequest) addOwner() { req.owners.Add(1) }
 
--- a/internal/gateway/eventloop.go
+++ b/internal/gateway/eventloop.go
@@ -43,7 +43,7 @@
 
 	requests           map[policy.RequestID]*clientRequest // open requests: unanswered, or with attempts in flight
 	openCorrelationIDs map[string]struct{}                 // correlation ids of the open requests
-	recentIDs          recentIDs                           // correlation ids of recent requests
+	recentIDs          *recentIDs                          // correlation ids of forwarded requests that have ended
 	lastRequestID      policy.RequestID                    // last id assigned to a request
 	backendNames       map[policy.BackendID]string         // discovery's instance id of each ready backend
 	pendingCalls       map[uint64][]*counterCall           // calls whose reply the engine awaits, by key, in order
@@ -67,6 +67,7 @@
 		stopped:            make(chan struct{}),
 		requests:           map[policy.RequestID]*clientRequest{},
 		openCorrelationIDs: map[string]struct{}{},
+		recentIDs:          newRecentIDs(config.limits().recentIDs),
 		backendNames:       map[policy.BackendID]string{},
 		pendingCalls:       map[uint64][]*counterCall{},
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -30,6 +30,7 @@
 	requestsStalled              // requests whose body stopped arriving while others waited for memory, answered 503
 	requestsTooManyFields        // requests with too many header fields, answered 431
 	requestsConflicting          // requests whose correlation id is in use, answered 409
+	requestsOverIDLimit          // requests whose correlation id could not be remembered, answered 503
 	requestsOverOpenLimit        // requests above the limit of open requests, answered 503
 	requestsWhileDraining        // requests that arrived too late in a graceful shutdown, answered 503
 	clientsDisconnected          // clients that closed their connection or its sending side before the answer
@@ -53,6 +54,7 @@
 	requestsStalled:       "requests.stalled",
 	requestsTooManyFields: "requests.too_many_fields",
 	requestsConflicting:   "requests.conflict",
+	requestsOverIDLimit:   "requests.over_id_limit",
 	requestsOverOpenLimit: "requests.over_open_limit",
 	requestsWhileDraining: "requests.while_draining",
 	clientsDisconnected:   "requests.client_disconnected",
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -11,40 +11,49 @@
 const responseMargin = 0.005
 
 // startRequest assigns an internal id to a request and hands the request to the engine. It rejects the request instead,
-// before any attempt, if the deployment's limit of open requests is reached or the correlation id is in use.
+// before any attempt, if the deployment's limit of open requests is reached, the correlation id is in use, or the id of a
+// further request could not be remembered.
 func (l *eventLoop) startRequest(req *clientRequest) {
-	if l.deployment.MaxOpenRequests > 0 && len(l.requests) >= l.deployment.MaxOpenRequests {
-		l.metrics.add(requestsOverOpenLimit)
-		req.response <- clientResponse{status: http.StatusServiceUnavailable}
-		req.removeOwner()
-		return
-	}
-	if !l.claimCorrelationID(req) {
-		l.metrics.add(requestsConflicting)
-		req.response <- clientResponse{status: http.StatusConflict}
-		req.removeOwner()
-		return
+	switch {
+	case l.deployment.MaxOpenRequests > 0 && len(l.requests) >= l.deployment.MaxOpenRequests:
+		l.turnAway(req, requestsOverOpenLimit, clientResponse{status: http.StatusServiceUnavailable})
+	case l.correlationIDInUse(req.correlationID):
+		l.turnAway(req, requestsConflicting, clientResponse{status: http.StatusConflict})
+	case !l.recentIDs.hasRoom(len(l.requests), l.clock.now()):
+		l.turnAway(req, requestsOverIDLimit, l.unavailable())
+	default:
+		l.metrics.add(requestsAccepted)
+		req.policyRequest.ID = l.unusedRequestID()
+		req.unanswered = true
+		l.requests[req.policyRequest.ID] = req
+		l.openCorrelationIDs[req.correlationID] = struct{}{}
+		l.handleEvent(req.policyRequest)
 	}
-	l.metrics.add(requestsAccepted)
-	req.policyRequest.ID = l.unusedRequestID()
-	req.unanswered = true
-	l.requests[req.policyRequest.ID] = req
-	l.handleEvent(req.policyRequest)
 }
 
-// claimCorrelationID reserves the correlation id of a request, and returns false if the id is in use. A correlation id
-// identifies a single request: a second request with the same id, from any client, might get the response that a
-// backend made for the first request. The id of an open request stays reserved. The id of a finished request becomes
-// free again when recentIDs no longer holds it.
-func (l *eventLoop) claimCorrelationID(req *clientRequest) bool {
-	if _, open := l.openCorrelationIDs[req.correlationID]; open {
-		return false
-	}
-	if !l.recentIDs.add(req.correlationID, req.policyRequest.SentAt) {
-		return false
+// turnAway answers a request that is not handed to the engine, and counts it.
+func (l *eventLoop) turnAway(req *clientRequest, reason metric, response clientResponse) {
+	l.metrics.add(reason)
+	req.response <- response
+	req.removeOwner()
+}
+
+// unavailable returns the answer to a request that is rejected for lack of capacity.
+func (l *eventLoop) unavailable() clientResponse {
+	response := clientResponse{status: http.StatusServiceUnavailable}
+	if l.deployment.CanSendRetryAfter {
+		response.retryAfter = l.deployment.MaxRetryAfter
 	}
-	l.openCorrelationIDs[req.correlationID] = struct{}{}
-	return true
+	return response
+}
+
+// correlationIDInUse reports whether a correlation id belongs to an open request, or to a recent one that was forwarded. A
+// correlation id identifies a single request: a second request with the same id, from any client, might get the response
+// that a backend made for the first request, or be executed again. The id of a request that was never forwarded is free
+// as soon as the request has ended.
+func (l *eventLoop) correlationIDInUse(id string) bool {
+	_, open := l.openCorrelationIDs[id]
+	return open || l.recentIDs.has(id)
 }
 
 // unusedRequestID returns an id that no request of the loop has. The ids wrap around at the end of their type's
@@ -91,6 +100,9 @@
 	if isOpen && !req.unanswered && req.attemptsInFlight == 0 {
 		delete(l.requests, req.policyRequest.ID)
 		delete(l.openCorrelationIDs, req.correlationID)
+		if req.wasForwarded() {
+			l.recentIDs.add(req.correlationID, l.clock.now())
+		}
 		for _, scheduled := range req.timers {
 			l.timers.cancel(scheduled)
 		}
