--- a/internal/gateway/clientdisconnect_test.go
+++ b/internal/gateway/clientdisconnect_test.go
@@ -124,8 +124,8 @@
 	}
 }
 
-// Clients disconnect before their requests are read, while their connections wait to be accepted. No attempt may begin
-// for these clients.
+// Clients disconnect before their requests are read, while their connections wait to be accepted, some of them behind
+// many further requests. No attempt may begin for these clients.
 func TestNoAttemptForClientDisconnectedBeforeRead(t *testing.T) {
 	t.Parallel()
 	for name, disconnect := range map[string]func(*net.TCPConn) error{
@@ -149,8 +149,12 @@
 			g := newStallableGateway(t, backend.Listener.Addr().String(), func(listener net.Listener) net.Listener {
 				return &gatedListener{Listener: listener, onAccept: func() { <-gate }}
 			})
-			for range disconnectingClients {
-				disconnect(dial(t, g.address, requestText("POST", "booking", "x", quotaHeader, singleGatewayQuota)))
+			for n := range disconnectingClients {
+				var text strings.Builder
+				for range 1 + n { // the close lies behind up to 10 KB of further requests
+					text.WriteString(requestText("POST", "booking", "x", quotaHeader, singleGatewayQuota))
+				}
+				disconnect(dial(t, g.address, text.String()))
 			}
 			close(gate)
 			g.expectServed(t, stayingID) // this connection is accepted after the connections above
