Keep what is known about a backend's process apart from its next process

By reading: a start time earlier than the known one was ignored, so behind a clock that was set back a new process kept the old one's health and got no slow start; one in the future kept it at the lowest share until that time; ends of attempts at the old process (resets, time-outs) counted as failures and work in flight of the new one, as did abandoned attempts and trials.

--- a/policy/attemptend.go
+++ b/policy/attemptend.go
@@ -24,7 +24,8 @@
 	a.ended = true
 	req.attemptsInFlight--
 	req.customer.openAttempts--
-	if event.Outcome == TimedOut || event.Outcome == Cancelled {
+	mayStillRun := event.Outcome == TimedOut || event.Outcome == Cancelled
+	if mayStillRun && a.isCurrent() {
 		e.attemptAbandoned(req, a)
 	} else {
 		e.attemptFinished(a.backend, req.level)
--- a/policy/backend.go
+++ b/policy/backend.go
@@ -27,6 +27,7 @@
 	nextTrialAt   float64 // clock time at which the next trial is due; used only while ejected
 	trialInterval float64 // seconds between trials
 
+	slowStartFrom     float64 // clock time from which on the slow start of the current process counts
 	slowStartTokens   float64 // attempts that may be sent now while the backend is in slow start
 	slowStartTokensAt float64 // clock time of the last refill of slowStartTokens
 }
--- a/policy/hedge.go
+++ b/policy/hedge.go
@@ -5,7 +5,7 @@
 // allows it, a hedged request is sent to another backend.
 func (e *Engine) handleSlowAttempt(req *request, number int) {
 	a := &req.attempts[number]
-	if a.backend.lastSuccessAt < a.sentAt {
+	if a.isCurrent() && a.backend.lastSuccessAt < a.sentAt {
 		a.backend.recordFailure(e.now)
 	}
 	if e.mayHedge(req, number) {
--- a/policy/membership.go
+++ b/policy/membership.go
@@ -22,27 +22,17 @@
 	}
 }
 
-// applyEntry applies one entry of the endpoint list. A StartedAt that is earlier than the known value is
-// outdated and ignored. The other fields of the entry are used.
+// applyEntry applies one entry of the endpoint list.
 func (e *Engine) applyEntry(entry Backend) {
 	isNew := e.backends.byID[entry.ID] == nil
 	b := e.findOrAddBackend(entry)
-	if isNew || entry.StartedAt > b.StartedAt {
-		e.resetForNewProcess(b)
+	if isNew {
+		b.StartedAt = 0 // no process of the backend is known
+	}
+	if isNew || b.isNewProcess(entry) {
+		e.beginProcess(b, entry.StartedAt)
 	} else {
 		entry.StartedAt = b.StartedAt
 	}
 	b.Backend = entry
 }
-
-// resetForNewProcess discards the latency and the failure rate of a backend's previous process. It begins the
-// slow start of the new process with a random fraction of a token. With many gateways, a single gateway may
-// send a backend in slow start only one request in many seconds. If every gateway began without tokens, the
-// backend would first be idle although it is needed, and would then get requests from all gateways
-// simultaneously.
-func (e *Engine) resetForNewProcess(b *backend) {
-	b.latency = 0
-	b.failureRate = 0
-	b.slowStartTokens = e.rng.Float64()
-	b.slowStartTokensAt = e.now
-}
--- a/policy/request.go
+++ b/policy/request.go
@@ -20,9 +20,10 @@
 
 // attempt is the state of one attempt of a request at a backend.
 type attempt struct {
-	backend *backend
-	sentAt  float64 // clock time at which the attempt was sent
-	ended   bool
+	backend          *backend
+	processStartedAt float64 // start time of the backend's process to which the attempt was sent
+	sentAt           float64 // clock time at which the attempt was sent
+	ended            bool
 }
 
 // openRequest returns the request with the given ID, or nil if it is unknown or finished.
--- a/policy/send.go
+++ b/policy/send.go
@@ -10,7 +10,7 @@
 	number := len(req.attempts)
 	e.countAttempt(req, number)
 	req.markExecutable(b, e.now)
-	req.attempts = append(req.attempts, attempt{backend: b, sentAt: e.now})
+	req.attempts = append(req.attempts, attempt{backend: b, processStartedAt: b.StartedAt, sentAt: e.now})
 	req.attemptsInFlight++
 	e.attemptStarted(b, req.level)
 	e.chargeSlowStart(b)
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -37,14 +37,14 @@
 }
 
 // slowStartShare returns the share of its full capacity that a backend is assumed to have now. The share
-// grows linearly from SlowStartMinShare at the backend's start to 1 at the end of SlowStartWindow. It is 1
-// for a warm backend.
+// grows linearly from SlowStartMinShare at slowStartFrom to 1 at the end of SlowStartWindow. It is 1 for a
+// warm backend.
 func (e *Engine) slowStartShare(b *backend) float64 {
 	window := e.settings.SlowStartWindow
-	if b.StartedAt == 0 || window <= 0 || e.now-b.StartedAt >= window {
+	if b.StartedAt == 0 || window <= 0 || e.now-b.slowStartFrom >= window {
 		return 1
 	}
-	elapsedShare := max(e.now-b.StartedAt, 0) / window
+	elapsedShare := max(e.now-b.slowStartFrom, 0) / window
 	return e.settings.SlowStartMinShare + (1-e.settings.SlowStartMinShare)*elapsedShare
 }
 
