Keep connections that lead to a backend's new process when discovery tells of it

Cause, by reading: a list that told of a later start closed all connections to the backend, also those that had been dialed after that start and led to the new process; their attempts ended as resets, which may have run. A start before the known one, behind a clock that was set back, closed none. Change: connections dialed since the start move to the new endpoint; any other start than the known one is a new process.

--- a/internal/gateway/backendconn.go
+++ b/internal/gateway/backendconn.go
@@ -25,14 +25,15 @@
 var errTooManyInterimResponses = errors.New("too many interim responses without a final one")
 
 // backendConn is a connection to a backend. It carries one request at a time. The mutex of connectionPools guards
-// idleSince; the other fields belong to the attempt that uses the connection.
+// endpoint and idleSince; the other fields belong to the attempt that uses the connection.
 type backendConn struct {
 	net.Conn
 	responses *responseReader // reads from Conn
 	reader    *bufio.Reader   // reads from responses
 	writer    *bufio.Writer   // writes to Conn
 	memory    *memoryBudget   // for the bytes of responses
-	endpoint  *endpoint       // endpoint to which the connection was dialed; constant
+	dialedAt  float64         // time before the connection was dialed, in Unix seconds; constant
+	endpoint  *endpoint       // endpoint of the process to which the connection leads
 	idleSince time.Time       // start of the idle time; zero while an attempt uses the connection
 	idleFor   time.Duration   // idle time before the current use; 0 for a new connection
 }
--- a/internal/gateway/clock.go
+++ b/internal/gateway/clock.go
@@ -14,9 +14,12 @@
 // newClock returns a clock that starts at the current system time.
 func newClock() clock {
 	start := time.Now()
-	return clock{start: start, startUnix: float64(start.UnixNano()) / 1e9}
+	return clock{start: start, startUnix: unixSeconds(start)}
 }
 
+// unixSeconds returns a time in Unix seconds.
+func unixSeconds(t time.Time) float64 { return float64(t.UnixNano()) / 1e9 }
+
 // now returns the current time in seconds.
 func (c clock) now() float64 { return c.startUnix + time.Since(c.start).Seconds() }
 
--- a/internal/gateway/connectionpool.go
+++ b/internal/gateway/connectionpool.go
@@ -157,11 +157,14 @@
 	stop := context.AfterFunc(e.ctx, cancel)
 	defer stop()
 	dialer := net.Dialer{KeepAlive: -1} // no TCP keep-alive: its probes would detect an unresponsive host too late
-	conn, err := dialer.DialContext(ctx, "tcp", e.address)
+	startedAt := unixSeconds(time.Now())
+	netConn, err := dialer.DialContext(ctx, "tcp", e.address)
 	if err != nil {
 		return nil, err
 	}
-	return newBackendConn(conn, e, p.memory), nil
+	conn := newBackendConn(netConn, e, p.memory)
+	conn.dialedAt = startedAt
+	return conn, nil
 }
 
 // putIdle returns a connection to its pool, where other attempts can reuse it. If the connection's endpoint has been
--- a/internal/gateway/endpoint.go
+++ b/internal/gateway/endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"amberlb/policy"
 )
@@ -27,20 +28,44 @@
 	return e
 }
 
-// updateEndpoint sets the address of a ready backend and the time at which its process started. If the address has
-// changed or startedAt is later than before, the old endpoint is retired.
+// updateEndpoint sets the address of a ready backend and the time at which its process started. If the address or the time
+// has changed, the old endpoint is retired. A time of 0 only says that the process started long ago. Connections to the
+// same address that were dialed after the new process had started lead to the new process, and are kept.
 func (p *connectionPools) updateEndpoint(id policy.BackendID, address string, startedAt float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	old := p.endpoints[id]
-	if old != nil && old.address == address && old.startedAt >= startedAt {
+	restarted := old != nil && startedAt != 0 && old.startedAt != startedAt
+	if old != nil && old.address == address && !restarted {
 		return
 	}
+	updated := newEndpoint(address, startedAt)
 	if old != nil {
-		restarted := old.startedAt < startedAt // the old process is gone, so requests in flight get no response
-		p.retire(old, restarted)
+		if restarted && old.address == address {
+			old.moveConnsDialedSince(startedAt, updated)
+		}
+		p.retire(old, restarted) // the old process is gone, so requests in flight there get no response
+	}
+	p.endpoints[id] = updated
+}
+
+// moveConnsDialedSince moves the connections that were dialed at a time, in Unix seconds, or later to another endpoint.
+// The caller holds the mutex of connectionPools.
+func (e *endpoint) moveConnsDialedSince(since float64, to *endpoint) {
+	dialedSince := func(conn *backendConn) bool { return conn.dialedAt >= since }
+	for conn := range e.conns {
+		if dialedSince(conn) {
+			delete(e.conns, conn)
+			to.conns[conn] = struct{}{}
+			conn.endpoint = to
+		}
+	}
+	for _, conn := range e.idleConns {
+		if dialedSince(conn) {
+			to.idleConns = append(to.idleConns, conn)
+		}
 	}
-	p.endpoints[id] = newEndpoint(address, startedAt)
+	e.idleConns = slices.DeleteFunc(e.idleConns, dialedSince)
 }
 
 // removeEndpoint retires the endpoint of a backend that is draining or gone. No new attempt is sent to the endpoint,
