Let an address belong to the backend whose process started there last

Cause, by reading: two backends could be ready at one address, as discovery may tell of a successor before it tells that the old one has gone. Attempts at the old one reached the new process, beyond its slow start.

--- a/internal/gateway/eventloop.go
+++ b/internal/gateway/eventloop.go
@@ -45,8 +45,10 @@
 	openCorrelationIDs map[string]struct{}                 // correlation ids of the open requests
 	recentIDs          *recentIDs                          // correlation ids of forwarded requests that have ended
 	lastRequestID      policy.RequestID                    // last id assigned to a request
-	backendNames       map[policy.BackendID]string         // discovery's instance id of each ready backend
-	pendingCalls       map[uint64][]*counterCall           // calls whose reply the engine awaits, by key, in order
+	readyBackends      map[policy.BackendID]listedBackend
+	addressOwners      map[string]policy.BackendID // the ready backend at each address
+	superseded         map[policy.BackendID]string // addresses of backends at which another process runs by now
+	pendingCalls       map[uint64][]*counterCall   // calls whose reply the engine awaits, by key, in order
 	timers             timerQueue
 
 	actions       []policy.Action // buffer for the actions of one event
@@ -68,7 +70,9 @@
 		requests:           map[policy.RequestID]*clientRequest{},
 		openCorrelationIDs: map[string]struct{}{},
 		recentIDs:          newRecentIDs(config.limits().recentIDs),
-		backendNames:       map[policy.BackendID]string{},
+		readyBackends:      map[policy.BackendID]listedBackend{},
+		addressOwners:      map[string]policy.BackendID{},
+		superseded:         map[policy.BackendID]string{},
 		pendingCalls:       map[uint64][]*counterCall{},
 	}
 	l.engine, l.actions = policy.New(config.Settings, config.Seed, l.clock.now(), nil)
--- a/internal/gateway/hollow.go
+++ b/internal/gateway/hollow.go
@@ -143,7 +143,7 @@
 // startAttempt simulates an attempt with a timer. It calls onDone when the timer fires or when the attempt's context
 // ends, whichever happens first. An attempt at a backend that is not listed ends at once.
 func (t *hollowTransport) startAttempt(a *attempt, onDone func(attemptResult)) {
-	if _, listed := t.loop.backendNames[a.backend]; !listed {
+	if _, listed := t.loop.readyBackends[a.backend]; !listed {
 		// onDone posts to the loop and may block until the loop reads its inbox, so the loop must not call it.
 		go onDone(attemptResult{outcome: policy.ConnectFailed})
 		return
