Ask discovery for the full list when another process may answer for it

Cause, by reading: after an answer with a lower generation the watcher applied the changes to the old process's list, and after a refused connection it asked for changes since a generation of the old one. What the new process had told before was never learnt. Change: both lead to a poll for the full list. TestNewProcessOfDiscoveryIsAskedForFullList.

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -7,9 +7,14 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"syscall"
 	"time"
 )
 
+// errOlderGeneration is returned for changes up to a generation before the one in the query: another process of discovery
+// has sent them, which counts from the beginning. What it has told before is not known.
+var errOlderGeneration = errors.New("the changes have an older generation than the list they apply to")
+
 const (
 	endpointsPath         = "/registry/instances"
 	maxListBytes          = 4 << 20          // bytes; maximum size of a response body
@@ -102,13 +107,14 @@
 	w.onList(list)
 }
 
-// handleFailure handles the error of a failed poll. After an invalid list, the next poll asks for the full list. After
+// handleFailure handles the error of a failed poll. After an invalid list, or if nobody listens at the address of
+// discovery, the next poll asks for the full list. After
 // a poll for the full list has timed out, the next poll gets a longer timeout. handleFailure logs at most one error in
 // discoveryWarnInterval.
 func (w *discoveryWatcher) handleFailure(ctx context.Context, err error) {
 	var invalidList *invalidListError
-	if errors.As(err, &invalidList) {
-		w.canWatch = false
+	if errors.As(err, &invalidList) || errors.Is(err, syscall.ECONNREFUSED) {
+		w.canWatch = false // another process may be at the address by the next poll, with generations of its own
 	}
 	if !w.canWatch && errors.Is(err, context.DeadlineExceeded) {
 		w.fullListTimeouts++
@@ -134,6 +140,9 @@
 		return EndpointList{}, err
 	}
 	list, err := decodeEndpointList(body, !w.canWatch)
+	if err == nil && w.canWatch && !list.Reset && list.Generation < w.generation {
+		err = errOlderGeneration
+	}
 	if err != nil {
 		return EndpointList{}, &invalidListError{cause: err}
 	}
--- a/internal/gateway/discovery_test.go
+++ b/internal/gateway/discovery_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -76,6 +78,45 @@
 	}
 }
 
+// A new process of discovery at the old address counts generations of its own, and the watcher must not apply its changes to
+// the list of the old process: a lower generation, or an address at which nobody listens, makes it ask for the full list.
+func TestNewProcessOfDiscoveryIsAskedForFullList(t *testing.T) {
+	t.Parallel()
+	discovery := newPeer(t)
+	address := discovery.address()
+	received := make(chan EndpointList, 8)
+	runWatcher(t, newDiscoveryWatcher(address, 2*time.Second, true, func(l EndpointList) { received <- l }))
+	conn, reader := discovery.accept(t)
+	readRequest(t, reader)
+	writeResponse(conn, http.StatusOK, `{"generation": 41, "reset": true, "instances": []}`)
+	await(t, received, "list")
+	readRequest(t, reader)
+	writeResponse(conn, http.StatusOK, `{"generation": 3, "reset": false, "instances": []}`)
+	conn, reader = discovery.accept(t)
+	if req, _ := readRequest(t, reader); req.URL.RawQuery != "" || len(received) > 0 {
+		t.Errorf("after a lower generation: query %q, %d lists applied", req.URL.RawQuery, len(received))
+	}
+	writeResponse(conn, http.StatusOK, `{"generation": 3, "reset": true, "instances": []}`)
+	await(t, received, "list of the new process")
+	readRequest(t, reader)
+	discovery.listener.Close()
+	conn.Close()
+	time.Sleep(3 * watchRetryDelay) // a poll is refused
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	conn, err = listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if req, _ := readRequest(t, bufio.NewReader(conn)); req.URL.RawQuery != "" {
+		t.Errorf("after nobody listened: query %q", req.URL.RawQuery)
+	}
+}
+
 // A backend in use whose entry becomes invalid must get no further requests, since the entry may say that the backend
 // is draining.
 func TestBackendWithMalformedEntryGetsNoRequests(t *testing.T) {
