Bound the pace of a connection's requests that are not served

Cause: an answer without service costs a client nothing, and it sends the next request at once; a hundred such clients keep a hundred goroutines runnable, and each step of a usual request waits for all of them. Change: after 32 answers other than 200 on a connection, its next request is read when a token of 32 a second is free (golang.org/x/time/rate). The pause counts against the request's deadline.

--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 // Limits on reading from a connection after its incomplete request has been rejected.
@@ -38,6 +40,10 @@
 	headMemory reservation // for the head of the current request, until takeHeadMemory
 	clientGone bool        // the client has closed the connection or its sending side behind the current request
 
+	// Owned by the goroutine that serves the connection:
+	rejections *rate.Limiter // for the answers that serve nothing; nil before the first one
+	pause      time.Duration // wait before the next request is read
+
 	// requestDelay is the longest time that the current request can have waited before it was read: before its connection
 	// was accepted, or for memory of its head. The field needs no lock: it is set before the connection is served, and then
 	// used only by the goroutine that serves the connection.
@@ -72,6 +78,7 @@
 	}
 	if c.framer.isComplete() {
 		c.framer.reset()
+		c.pauseBeforeRequest()
 	}
 	if len(c.unread.bytes) > 0 {
 		return c.readUnread(p)
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -51,16 +51,16 @@
 	if conn.clientGone {
 		// The client may have disconnected while its request waited to be read, before the HTTP server began to watch for a
 		// disconnect.
-		f.answerDisconnected(w)
+		f.answerDisconnected(w, conn)
 		return
 	}
 	if f.rejecting.Load() {
-		f.rejectLate(w)
+		f.rejectLate(w, conn)
 		return
 	}
 	conn.request.Store(req)
 	defer conn.request.Store(nil)
-	f.serveRequest(w, r, req)
+	f.serveRequest(w, r, conn, req)
 }
 
 // serveReadiness answers a readiness check.
@@ -110,47 +110,48 @@
 
 // rejectLate rejects a request that arrives too late in a graceful shutdown: the request might still be open when the
 // process is killed.
-func (f *frontend) rejectLate(w http.ResponseWriter) {
+func (f *frontend) rejectLate(w http.ResponseWriter, conn *clientConn) {
 	f.loop.metrics.add(requestsWhileDraining)
-	f.respond(w, clientResponse{status: http.StatusServiceUnavailable})
+	f.respond(w, conn, clientResponse{status: http.StatusServiceUnavailable})
 }
 
 // serveRequest hands a request to the event loop and writes its final answer. It stops waiting for the answer if the
 // client disconnects or the loop ends.
-func (f *frontend) serveRequest(w http.ResponseWriter, r *http.Request, req *clientRequest) {
+func (f *frontend) serveRequest(w http.ResponseWriter, r *http.Request, conn *clientConn, req *clientRequest) {
 	req.addOwner()
 	if !f.loop.post(requestArrived{req}) {
 		req.removeOwner()
-		f.respond(w, clientResponse{status: http.StatusInternalServerError})
+		f.respond(w, conn, clientResponse{status: http.StatusInternalServerError})
 		return
 	}
 	select {
 	case response := <-req.response:
-		f.respond(w, response)
+		f.respond(w, conn, response)
 	case <-r.Context().Done():
 		// Setting disconnected takes effect at once. The event loop may have to handle other messages before
 		// clientDisconnected, and those messages could start attempts.
 		req.disconnected.Store(true)
 		f.loop.post(clientDisconnected{req})
-		f.answerDisconnected(w)
+		f.answerDisconnected(w, conn)
 	case <-f.loop.stopped:
-		f.respond(w, clientResponse{status: http.StatusInternalServerError})
+		f.respond(w, conn, clientResponse{status: http.StatusInternalServerError})
 	}
 }
 
 // answerDisconnected closes the connection of a client that has disconnected. A client that has closed only its sending
 // side still reads the answer, so answerDisconnected writes an error: for a handler that writes nothing, net/http would
 // send a 200, although no backend has served the request.
-func (f *frontend) answerDisconnected(w http.ResponseWriter) {
+func (f *frontend) answerDisconnected(w http.ResponseWriter, conn *clientConn) {
 	w.Header().Set("Connection", "close")
-	f.respond(w, clientResponse{status: http.StatusBadGateway})
+	f.respond(w, conn, clientResponse{status: http.StatusBadGateway})
 }
 
 // respond writes an answer to the client. It also closes the connection if a graceful shutdown has begun, even if the
 // shutdown began after the request arrived.
-func (f *frontend) respond(w http.ResponseWriter, response clientResponse) {
+func (f *frontend) respond(w http.ResponseWriter, conn *clientConn, response clientResponse) {
 	if f.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	conn.answered(response.status)
 	response.write(w)
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,6 +21,7 @@
 	acceptsFailed                // failed calls of Accept
 	connectionsOverLimit         // connections closed unread because the table had no free slot for them
 	connectionsEvicted           // connections without an open request that were closed to free their slots
+	connectionsPaused            // waits before requests on connections with many rejections
 	connectionsFlooded           // connections closed because too many bytes followed an open request
 	requestsAccepted             // requests handed to the policy engine
 	requestsServed               // requests answered with a backend's response
@@ -45,6 +46,7 @@
 	acceptsFailed:         "accepts.failed",
 	connectionsOverLimit:  "connections.over_limit",
 	connectionsEvicted:    "connections.evicted",
+	connectionsPaused:     "connections.paused",
 	connectionsFlooded:    "connections.flooded",
 	requestsAccepted:      "requests.accepted",
 	requestsServed:        "requests.served",
--- a/internal/lab/hostile/client.go
+++ b/internal/lab/hostile/client.go
@@ -18,6 +18,7 @@
 	dialTimeout    = time.Second
 	redialInterval = 20 * time.Millisecond
 	longestStay    = 5 * time.Second        // longest wait for an answer or the connection's end
+	maxUseTime     = 5 * time.Second        // longest use of a connection for requests one after another
 	maxLeaveDelay  = 300 * time.Millisecond // longest time from the last byte until a client leaves
 	slowPieceGap   = 100 * time.Millisecond // pause between two pieces of a slow message
 	slowPieces     = 40
@@ -87,7 +88,7 @@
 	exchange := Exchange{Shape: c.crowd.Shape, Ending: c.crowd.Ending, ConnectedAt: c.target.Now()}
 	conn.SetDeadline(time.Now().Add(longestStay))
 	switch c.crowd.Shape {
-	case FullSpeed:
+	case FullSpeed, SameID:
 		c.sendRequests(conn, &exchange)
 	case Returning:
 		c.sendTwice(ctx, conn, &exchange)
@@ -160,10 +161,12 @@
 // sendRequests sends short requests one after another, each as soon as the one before has its answer.
 func (c client) sendRequests(conn net.Conn, exchange *Exchange) {
 	reader := bufio.NewReader(conn)
-	for range maxRounds {
-		text, id := c.shortRequest()
+	id := c.nextID()
+	text := c.request(id, "", 1)
+	exchange.IDs = []string{id}
+	for end := time.Now().Add(maxUseTime); time.Now().Before(end); {
 		conn.SetDeadline(time.Now().Add(longestStay))
-		c.write(conn, text, exchange, id)
+		io.WriteString(conn, text)
 		response, err := http.ReadResponse(reader, nil)
 		if err != nil {
 			break
@@ -172,6 +175,10 @@
 		if response.Close {
 			break
 		}
+		if c.crowd.Shape == FullSpeed {
+			text, id = c.shortRequest()
+			exchange.IDs = append(exchange.IDs, id)
+		}
 	}
 	exchange.EndedAt = c.target.Now()
 }
--- a/internal/lab/hostile/message.go
+++ b/internal/lab/hostile/message.go
@@ -13,7 +13,6 @@
 	longBodyBytes   = 64 << 10 // the longest body that the protocol allows
 	customerIDRange = 1 << 33  // ids of customers are below this number
 	maxPipelined    = 200      // short requests in one write
-	maxRounds       = 400      // short requests that a client sends one after another on a connection
 	maxFields       = 4096     // fields in the head of a complete request
 )
 
--- a/internal/lab/hostile/shape.go
+++ b/internal/lab/hostile/shape.go
@@ -16,6 +16,7 @@
 	LongRequest    Shape = "long request"    // a complete long request
 	Pipeline       Shape = "pipeline"        // many short requests in one write
 	FullSpeed      Shape = "full speed"      // short requests one after another, each of a new customer
+	SameID         Shape = "same id"         // short requests one after another, all with the id of the first
 	Invalid        Shape = "invalid"         // requests that can't be decoded, one after another
 	Junk           Shape = "junk"            // random bytes
 	Returning      Shape = "returning"       // a request whose client leaves, and comes again with the same id
@@ -23,7 +24,7 @@
 
 // Shapes lists all shapes.
 var Shapes = []Shape{Silent, DistinctFields, RepeatedFields, LongField, SlowHead, IncompleteBody, SlowBody, ManyFields,
-	LongRequest, Pipeline, FullSpeed, Invalid, Junk, Returning}
+	LongRequest, Pipeline, FullSpeed, Invalid, Junk, Returning, SameID}
 
 // owesError reports whether a client of the shape must get an error or a close within badClientLimit of its first byte:
 // what it sends never becomes a request that can be served.
--- a/internal/lab/soak/crowd.go
+++ b/internal/lab/soak/crowd.go
@@ -76,7 +76,7 @@
 		Clients: minCrowdClients + rng.IntN(maxCrowdClients-minCrowdClients),
 		From:    randomDuration(rng, 0, crowdsComeBy),
 	}
-	if crowd.Shape == hostile.FullSpeed || crowd.Shape == hostile.Invalid {
+	if crowd.Shape == hostile.FullSpeed || crowd.Shape == hostile.SameID || crowd.Shape == hostile.Invalid {
 		crowd.Clients = 1 + rng.IntN(maxFullSpeed)
 	}
 	if rng.IntN(2) == 0 {
