Let stalled requests make room before the connections of served clients

Cause: an incomplete body could not be evicted, an idle connection could, whoever had it; a stalled request kept its slot until the read timeout, and after its error for the linger time and the HTTP server's wait before a close. Change: while a new connection waits for a slot, the requests that have brought no byte for 0.25 s end with 503, the longest stalled first, and their connections close at once if nothing is unread. Connections that have never brought a request are evicted before served ones, and served ones not at all while more than a tenth of the slots have incomplete requests.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -49,11 +49,15 @@
 // freed. If no slot is freed, the waits last minEvictionGrace in total. By then, a connection that has been idle since
 // the beginning of the first wait may be evicted.
 func (c *clientConnections) awaitCapacity(netConn net.Conn) *clientConn {
+	defer c.slotWanted.Store(false)
 	for remaining := minEvictionGrace; ; remaining -= capacityPollInterval {
 		conn := c.tryAdd(netConn)
 		if conn != nil || remaining <= 0 {
 			return conn
 		}
+		if !c.slotWanted.Swap(true) {
+			c.endStalled()
+		}
 		select {
 		case <-c.slotFreed:
 		case <-time.After(capacityPollInterval):
--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -39,6 +39,11 @@
 	unread     unreadBytes
 	headMemory reservation // for the head of the current request, until takeHeadMemory
 	clientGone bool        // the client has closed the connection or its sending side behind the current request
+	wakes      bool        // wakeAt has been set for the current request
+	rejected   bool        // the current request has been rejected before its end; nothing more is read
+
+	// incompleteBudget is the budget from which the request that is being read has taken memory; nil at other times.
+	incompleteBudget *memoryBudget
 
 	// Owned by the goroutine that serves the connection:
 	rejections *rate.Limiter // for the answers that serve nothing; nil before the first one
@@ -49,9 +54,6 @@
 	// used only by the goroutine that serves the connection.
 	requestDelay time.Duration
 
-	// incompleteBudget is the budget from which the request that is being read has taken memory; nil at other times.
-	incompleteBudget atomic.Pointer[memoryBudget]
-
 	// request is the open request, which is logged if a graceful shutdown leaves it unanswered; nil if no request is
 	// open.
 	request atomic.Pointer[clientRequest]
@@ -62,7 +64,8 @@
 	isNew        bool          // no request has been read from the connection yet
 	closing      bool          // the wait for a request ends at once, so that the server closes the connection
 	readDeadline time.Time     // read deadline set by the server or extended by markReading; zero: none
-	wakeAt       time.Time     // time at which a wait for bytes of a body is interrupted (see readBytes); zero: none
+	wakeAt       time.Time     // time at which a wait for bytes of a request is interrupted (see readBytes); zero: none
+	waitingSince time.Time     // beginning of the wait for bytes while wakeAt is set
 }
 
 // Read reads bytes from the client. It records when a request begins to arrive, and returns bytes of one request only
@@ -76,6 +79,9 @@
 	if len(p) == 1 && c.phase.load() == phaseOpen {
 		return 0, c.watchForClose(p)
 	}
+	if c.rejected {
+		return 0, io.EOF // the HTTP server reads the rest of a body before it closes the connection
+	}
 	if c.framer.isComplete() {
 		c.framer.reset()
 		c.pauseBeforeRequest()
@@ -177,6 +183,7 @@
 // for lingerTime at most: closing a connection with unread bytes resets it, and the client might lose the answer.
 func (c *clientConn) rejectIncomplete(status int) {
 	c.table.metrics.add(requestsIncomplete)
+	c.rejected = true
 	c.Conn.SetDeadline(time.Now().Add(lingerTime))
 	retryAfter := ""
 	if status == http.StatusServiceUnavailable && c.table.retryAfter != "" {
@@ -185,6 +192,9 @@
 	fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\n%sConnection: close\r\nContent-Length: 0\r\n\r\n", status,
 		http.StatusText(status), retryAfter)
 	c.CloseWrite()
+	if c.table.slotWanted.Load() && isOpenWithoutInput(c.Conn) {
+		return // there are no unread bytes, and another client needs the slot
+	}
 	io.Copy(io.Discard, io.LimitReader(c.Conn, maxLingerBytes)) // the error needs no handling: it only ends the read
 }
 
--- a/internal/gateway/clientconnections.go
+++ b/internal/gateway/clientconnections.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -13,6 +14,7 @@
 	softLimitShare     = 0.8                    // share of maxConns above which new connections evict idle ones
 	evictionGrace      = 2 * time.Second        // time without activity after which a connection may be evicted
 	minEvictionGrace   = 100 * time.Millisecond // replaces evictionGrace while the table is full (see evictIdle)
+	floodShare         = 0.1                    // share of maxConns; more incomplete requests are a flood
 	maxEvictionsPerAdd = 2                      // maximum number of evictions in one call of tryAdd
 )
 
@@ -30,6 +32,10 @@
 	retryAfter  string        // Retry-After of answers to requests that are not read to their end; "": none
 	maxHeadWait time.Duration // longest wait of a request's head for memory
 
+	// slotWanted is set while a new connection waits for a slot of the full table. Connections whose requests have stopped
+	// arriving are then closed.
+	slotWanted atomic.Bool
+
 	slotFreed chan struct{} // receives an element when a connection is removed
 
 	// Owned by the goroutine that calls Accept:
@@ -40,8 +46,10 @@
 	conns        map[*clientConn]struct{}
 	idle         list.List // values *clientConn: the connections without an open request, ordered by lastActive
 	closingCount int       // number of connections whose closing is set
-	draining     bool      // each connection is closed when it becomes idle
-	readCutoff   time.Time // time at which a graceful shutdown rejects incomplete requests; zero: no shutdown
+
+	incompleteCount int       // number of connections that wait for the rest of a request (see clientConn.wakeAt)
+	draining        bool      // each connection is closed when it becomes idle
+	readCutoff      time.Time // time at which a graceful shutdown rejects incomplete requests; zero: no shutdown
 }
 
 // newClientConnections returns a table for at most maxConns connections accepted from listener. The caller may
@@ -73,28 +81,61 @@
 	return conn
 }
 
-// evictIdle evicts idle connections while the table is above its soft limit, maxEvictionsPerAdd at most. A connection
-// must have been without activity for evictionGrace. If the table is full, minEvictionGrace is sufficient. Connections
-// that are already closing don't count towards the soft limit or a full table. The slot of an evicted connection
-// becomes free when the server has closed the connection.
+// evictIdle evicts idle connections while the table is above its soft limit, maxEvictionsPerAdd at most. Connections with
+// an incomplete request, and those that have never brought one, make room before those that have been served. The latter
+// keep their slots while more than floodShare of the slots have an incomplete request: endStalled makes room then. The
+// slot of an evicted connection becomes free when the server has closed the connection.
 func (c *clientConnections) evictIdle() {
+	evicted := c.evictMatching(func(conn *clientConn) bool { return conn.isNew || conn.phase.load() == phaseReading }, 0)
+	if float64(c.incompleteCount) <= floodShare*float64(c.maxConns) {
+		c.evictMatching(func(*clientConn) bool { return true }, evicted)
+	}
+}
+
+// evictMatching evicts the idle connections that match, in the order of their last activity, and returns the number of
+// evicted connections, including those that were evicted before. A connection must have been without activity for
+// evictionGrace. If the table is full, minEvictionGrace is sufficient. Connections that are already closing don't count
+// towards the soft limit or a full table.
+func (c *clientConnections) evictMatching(matches func(*clientConn) bool, evicted int) int {
 	softLimit := int(softLimitShare * float64(c.maxConns))
 	now := time.Now()
-	evicted := 0
 	for e := c.idle.Front(); e != nil && evicted < maxEvictionsPerAdd; e = e.Next() {
 		remaining := len(c.conns) - c.closingCount
 		if remaining <= softLimit {
-			return
+			break
 		}
 		conn := e.Value.(*clientConn)
 		idleFor := now.Sub(conn.lastActive)
 		if idleFor < minEvictionGrace || idleFor < evictionGrace && remaining < c.maxConns {
-			return // the connections further back in the list were active later
+			break // the connections further back in the list were active later
 		}
-		if c.evict(conn) {
+		if matches(conn) && c.evict(conn) {
 			evicted++
 		}
 	}
+	return evicted
+}
+
+// endStalled ends the waits of connections whose incomplete requests have brought no byte for maxStall, those that have waited
+// for the longest time first, and maxEvictionsPerAdd at most.
+func (c *clientConnections) endStalled() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	stalledBefore := time.Now().Add(-maxStall)
+	for range maxEvictionsPerAdd {
+		var longest *clientConn
+		for conn := range c.conns {
+			isStalled := !conn.wakeAt.IsZero() && conn.wakeAt != aLongTimeAgo && !conn.waitingSince.After(stalledBefore)
+			if isStalled && (longest == nil || conn.waitingSince.Before(longest.waitingSince)) {
+				longest = conn
+			}
+		}
+		if longest == nil {
+			return
+		}
+		longest.replaceWakeAt(aLongTimeAgo)
+		longest.applyReadDeadline()
+	}
 }
 
 // evict makes the server close a connection without an open request, to free its slot, and returns true. If the
@@ -132,6 +173,7 @@
 // remove the connection from the idle list and from closingCount.
 func (c *clientConnections) remove(conn *clientConn) {
 	c.markActive(conn)
+	conn.replaceWakeAt(time.Time{})
 	conn.unread.free()
 	conn.headMemory.release()
 	delete(c.conns, conn)
--- a/internal/gateway/clientconnections_test.go
+++ b/internal/gateway/clientconnections_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -14,7 +15,7 @@
 func TestSilentConnectionsDoNotKeepClientsOut(t *testing.T) {
 	t.Parallel()
 	backend := newPeer(t)
-	g := startTestGatewayWith(t, strings.NewReplacer(`"sockets": 1024`, `"sockets": 128`).Replace, backend)
+	g := startTestGatewayWith(t, fewDescriptors, backend)
 	var silent []net.Conn
 	for range 100 { // the limit of client connections is clientFDShare*(128-reservedFDs) = 48
 		conn, err := net.Dial("tcp", g.address)
@@ -199,3 +200,81 @@
 		}
 	}
 }
+
+// Clients that stop in the middle of a request keep no slot that a new connection waits for, whether they stopped in the
+// head or in the body. They get an error, and the new client's request is served.
+func TestStalledRequestsMakeRoom(t *testing.T) {
+	t.Parallel()
+	for name, text := range map[string]string{
+		"in the head": "POST /payment HTTP/1.1\r\nHost: h\r\n",
+		"in the body": requestText("POST", "payment", "body")[:len(requestText("POST", "payment", "body"))-1],
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			backend := newPeer(t)
+			g := startTestGatewayWith(t, fewDescriptors, backend)
+			table := g.server.clientConnections
+			var stalled []net.Conn
+			for range table.maxConns {
+				stalled = append(stalled, dial(t, g.address, text))
+			}
+			awaitCondition(t, "the table is not full of incomplete requests", func() bool {
+				phases := table.countByPhase()
+				return phases[phaseReading]+phases[phaseOpen] == table.maxConns
+			})
+			time.Sleep(maxStall) // none of them has a moment ago begun
+			begin := time.Now()
+			conn := dial(t, g.address, requestText("POST", "payment", "x"))
+			serveOne(t, backend, "served")
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if took := time.Since(begin); err != nil || resp.StatusCode != http.StatusOK || took > readTimeout/2 {
+				t.Errorf("the new client: %v, %v, after %v", resp, err, took)
+			}
+			statuses := map[string]int{}
+			for _, conn := range stalled {
+				answer := make([]byte, len("HTTP/1.1 503"))
+				if _, err := io.ReadFull(conn, answer); err != nil {
+					t.Errorf("a stalled client got no answer: %v", err)
+				}
+				statuses[string(answer)]++
+			}
+			if statuses["HTTP/1.1 503"] == 0 || statuses["HTTP/1.1 503"]+statuses["HTTP/1.1 408"] != len(stalled) {
+				t.Errorf("the stalled clients got %v", statuses)
+			}
+		})
+	}
+}
+
+// A connection that has been served keeps its slot while there are connections that have brought no complete request.
+func TestServedConnectionsAreEvictedLast(t *testing.T) {
+	table := newClientConnections(nil, 4)
+	p := newPeer(t)
+	add := func() *clientConn {
+		near, _ := connPair(t, p)
+		return table.tryAdd(near)
+	}
+	served := add()
+	table.onConnState(served, http.StateActive)
+	table.onConnState(served, http.StateIdle)
+	silent, reading := add(), add()
+	table.markReading(reading)
+	last := add()
+	for _, conn := range []*clientConn{served, silent, reading, last} {
+		conn.lastActive = time.Now().Add(-time.Hour)
+	}
+	table.evictIdle() // down to the soft limit, which is three connections
+	if served.closing || !silent.closing || reading.closing || last.closing {
+		t.Errorf("closing: served %t, silent %t, reading %t, last %t", served.closing, silent.closing, reading.closing, last.closing)
+	}
+	table.maxConns = 0
+	reading.setWakeAt(time.Now().Add(maxStall))
+	table.evictIdle() // beyond the limit, and with more than floodShare of incomplete requests
+	if served.closing || !reading.closing || !last.closing {
+		t.Errorf("closing: served %t, reading %t, last %t", served.closing, reading.closing, last.closing)
+	}
+	reading.setWakeAt(time.Time{})
+	table.evictIdle()
+	if !served.closing {
+		t.Error("the served connection was kept although there was no other one")
+	}
+}
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -43,6 +43,11 @@
 		return
 	}
 	req, err := f.decode(w, r)
+	if errors.Is(err, errBodyStalled) {
+		f.loop.metrics.add(requestsStalled)
+		conn.rejectIncomplete(http.StatusServiceUnavailable)
+		panic(http.ErrAbortHandler) // closes the connection at once; the HTTP server would wait before it closes
+	}
 	if err != nil {
 		f.rejectUndecoded(w, err)
 		return
--- a/internal/gateway/readdeadline.go
+++ b/internal/gateway/readdeadline.go
@@ -9,29 +9,48 @@
 // aLongTimeAgo is a deadline in the past, which ends a wait at once.
 var aLongTimeAgo = time.Unix(1, 0)
 
-// readBytes reads bytes from the socket. While a request is read that holds memory of a budget, the wait for bytes ends
-// with a timeout as soon as it has lasted for maxStall and another request waits for memory. Otherwise, clients that
-// stop in the middle of a request could keep the memory until their read timeout.
+// readBytes reads bytes from the socket. While a request is incomplete, the wait for bytes ends with a timeout if it has lasted
+// for maxStall and another client waits for the connection's slot or for memory that the request holds. Otherwise, clients
+// that stop in the middle of a request could keep slots and memory until their read timeout.
 func (c *clientConn) readBytes(p []byte) (int, error) {
+	incomplete := c.phase.load() != phaseIdle
+	if incomplete {
+		c.beginWait()
+	}
 	for {
-		budget := c.incompleteBudget.Load()
-		if budget != nil {
-			c.setWakeAt(time.Now().Add(maxStall))
-		}
 		n, err := c.Conn.Read(p)
-		mayWaitOn := budget != nil && !budget.hasWaiters() && c.readDeadlineAhead()
+		mayWaitOn := incomplete && !c.isWanted() && c.readDeadlineAhead()
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !mayWaitOn {
 			return n, err
 		}
+		c.setWakeAt(time.Now().Add(maxStall))
 	}
 }
 
+// beginWait records that the wait for the next bytes of an incomplete request begins.
+func (c *clientConn) beginWait() {
+	c.wakes = true
+	now := time.Now()
+	c.table.mu.Lock()
+	c.waitingSince = now
+	c.table.mu.Unlock()
+	c.setWakeAt(now.Add(maxStall))
+}
+
+// isWanted reports whether another client waits for the connection's slot, or for memory that its request holds.
+func (c *clientConn) isWanted() bool {
+	return c.table.slotWanted.Load() || c.incompleteBudget != nil && c.incompleteBudget.hasWaiters()
+}
+
 // beginBody records that a request that has taken memory from budget is being read.
-func (c *clientConn) beginBody(budget *memoryBudget) { c.incompleteBudget.Store(budget) }
+func (c *clientConn) beginBody(budget *memoryBudget) { c.incompleteBudget = budget }
 
-// endBody records that the request has been read, or is not read any more.
+// endBody records that the last byte of a request has been read. The watch for a disconnect, which follows, must not end by
+// wakeAt.
 func (c *clientConn) endBody() {
-	if c.incompleteBudget.Swap(nil) != nil {
+	c.incompleteBudget = nil
+	if c.wakes {
+		c.wakes = false
 		c.setWakeAt(time.Time{})
 	}
 }
@@ -40,10 +59,21 @@
 func (c *clientConn) setWakeAt(t time.Time) {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
-	c.wakeAt = t
+	c.replaceWakeAt(t)
 	c.applyReadDeadline() // an error needs no handling: the next read fails as well
 }
 
+// replaceWakeAt sets wakeAt, and counts the connections that wait for the rest of a request. The caller holds table.mu.
+func (c *clientConn) replaceWakeAt(t time.Time) {
+	if !c.wakeAt.IsZero() {
+		c.table.incompleteCount--
+	}
+	c.wakeAt = t
+	if !t.IsZero() {
+		c.table.incompleteCount++
+	}
+}
+
 // SetReadDeadline stores the read deadline that the HTTP server sets, and applies it to the socket. The deadline of the
 // socket may be earlier; see applyReadDeadline.
 func (c *clientConn) SetReadDeadline(t time.Time) error {
--- a/internal/gateway/requestbody.go
+++ b/internal/gateway/requestbody.go
@@ -21,7 +21,7 @@
 	maxStall = 250 * time.Millisecond
 )
 
-// errBodyStalled is returned for a body whose rest did not arrive while another request waited for memory.
+// errBodyStalled is returned for a body whose rest did not arrive while another client waited for its memory or its slot.
 var errBodyStalled = errors.New("the rest of the body did not arrive in time")
 
 // receivedBody is the body of a client's request.
@@ -85,7 +85,6 @@
 	conn := clientConnOf(r)
 	if conn != nil && budget != nil {
 		conn.beginBody(budget)
-		defer conn.endBody()
 	}
 	body, err := readBody(r.Body, r.ContentLength)
 	if err != nil {
@@ -99,8 +98,7 @@
 func requestBodyError(err error, conn *clientConn) error {
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded) && conn.readDeadlineAhead():
-		conn.table.metrics.add(requestsStalled)
-		return &requestError{http.StatusServiceUnavailable, fmt.Errorf("%w: %w", errMemoryExhausted, errBodyStalled)}
+		return &requestError{http.StatusServiceUnavailable, errBodyStalled}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &requestError{conn.table.incompleteStatus(conn), fmt.Errorf("body: %w", err)}
 	}
--- a/internal/gateway/requestbody_test.go
+++ b/internal/gateway/requestbody_test.go
@@ -16,6 +16,11 @@
 // or a close.
 const maxBadClientWait = 3 * time.Second
 
+// fewDescriptors sets the lowest limit of file descriptors in a configuration.
+func fewDescriptors(config string) string {
+	return strings.Replace(config, `"sockets": 1024`, fmt.Sprintf(`"sockets": %d`, minSockets), 1)
+}
+
 // lowMemory returns a configuration text with the lowest memory limit that a gateway accepts.
 func lowMemory(config string) string {
 	return strings.Replace(config, `"memory_mb": 192`, fmt.Sprintf(`"memory_mb": %d`, minMemoryMB), 1)
--- a/internal/gateway/unread.go
+++ b/internal/gateway/unread.go
@@ -86,7 +86,6 @@
 // watchForClose keeps the bytes that arrive behind an open request, until a read fails or no more bytes are kept, and
 // returns the error. A read fails when the connection has ended or its read deadline has passed.
 func (c *clientConn) watchForClose(p []byte) error {
-	c.endBody() // the body has been read to its end, and wakeAt must not end the watch
 	if c.clientGone {
 		return io.EOF
 	}
