Ask the client's socket before an attempt is sent, and count waits for a processor

Cause: on a busy core, the goroutines that read a connection or watch its client wait for their turn; a request's time counted from their turn, and the watch came after the attempt.

--- a/cmd/amberlb/hostile_test.go
+++ b/cmd/amberlb/hostile_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"log/slog"
 	"os/exec"
+	"slices"
 	"testing"
 	"time"
 
@@ -33,6 +34,39 @@
 	testMemoryOfCrowds(t, hostile.DistinctFields, hostile.RepeatedFields, hostile.ManyFields)
 }
 
+// Crowds of hostile clients of mixed shapes, endings and paces, against gateways at the corners of the limits, end no
+// gateway, take none over its memory limit, and make no request run twice. The race detector slows the clients down, so
+// lateness is judged by fleetlab soak --hostile alone.
+func TestHostileCrowds(t *testing.T) {
+	const (
+		seeds  = 6
+		length = 6 * time.Second
+	)
+	program := buildCommand(t)
+	concurrentRuns := make(chan struct{}, hostileRuns)
+	judged := []soak.Invariant{soak.OverMemoryLimit, soak.UnexpectedExit, soak.NotReady, soak.DuplicateExecution}
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			concurrentRuns <- struct{}{}
+			defer func() { <-concurrentRuns }()
+			plan := soak.NewHostilePlan(seed, length)
+			result, err := soak.Run(t.Context(), plan, soak.Options{Program: program, Log: slog.New(slog.DiscardHandler), CheckMemory: true})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, violation := range result.Verdict.Violations {
+				if slices.Contains(judged, violation.Invariant) {
+					t.Error(violation)
+				}
+			}
+			if v := result.Verdict; result.Partial || v.Hostile == 0 || v.Served == 0 {
+				t.Errorf("partial %t: %d hostile connections, %d usual requests served", result.Partial, v.Hostile, v.Served)
+			}
+		})
+	}
+}
+
 // testMemoryOfCrowds plays a crowd of each shape against gateways of all hostileLimits.
 func testMemoryOfCrowds(t *testing.T, shapes ...hostile.Shape) {
 	program := buildCommand(t)
--- a/internal/gateway/acceptdelay_test.go
+++ b/internal/gateway/acceptdelay_test.go
@@ -109,3 +109,39 @@
 	}
 	return f.loop.clock.toTime(req.policyRequest.Deadline)
 }
+
+// A goroutine that gets no processor for a moment inside Accept must not take the accept queue for empty: a connection
+// behind it may have waited there all the time, and its client's time ran on.
+func TestDelayedAcceptDoesNotHideTimeInQueue(t *testing.T) {
+	const (
+		clientTimeout = 5 * time.Second
+		busy          = 300 * time.Millisecond // time between two calls of Accept
+		noProcessor   = 5 * time.Millisecond   // time for which the call of Accept waits for a processor
+	)
+	config, err := parseConfig([]byte(configText("127.0.0.1:1", testSettings)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := newFrontend(&config)
+	f.loop = &eventLoop{clock: newClock()}
+	peer := newPeer(t)
+	listener := &channelListener{conns: make(chan net.Conn, 2)}
+	table := newClientConnections(listener, 2)
+	for range 2 {
+		near, far := connPair(t, peer)
+		send(t, near, far, requestText("GET", "lookup", "", timeLeftHeader, "5000"))
+		listener.conns <- near
+	}
+	if _, err := table.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(busy)
+	listener.onAccept = func() { time.Sleep(noProcessor) }
+	conn, err := table.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if left := time.Until(f.requestDeadline(t, conn.(*clientConn))); left > clientTimeout-busy {
+		t.Errorf("%v of %v are left after %v in the accept queue", left, clientTimeout, busy)
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -83,7 +83,7 @@
 func (a *attempt) attach(conn *backendConn) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.cancelled || a.request.disconnected.Load() {
+	if a.cancelled || a.request.clientClosed() {
 		return false
 	}
 	a.conn = conn
--- a/internal/gateway/attempt_test.go
+++ b/internal/gateway/attempt_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"amberlb/policy"
 )
 
 // newAttempt returns an attempt at backend 1, with a request to send and the given timeout.
@@ -52,3 +54,37 @@
 		t.Errorf("%d connections are still open", p.openConns)
 	}
 }
+
+// The goroutine that watches a client for a disconnect may not have had its turn yet when an attempt gets its connection.
+// The request of a client that has closed its connection must not be written then.
+func TestAttemptAsksClientsSocketBeforeItIsSent(t *testing.T) {
+	near, far := connPair(t, newPeer(t))
+	backend := newPeer(t)
+	p := newPoolsFor(t, backend.address())
+	for _, closed := range []bool{false, true} {
+		if closed {
+			far.Close()
+			awaitCondition(t, "the close has not arrived", func() bool { return peerClosed(near) })
+		}
+		a := newAttempt(testTimeout)
+		a.request.clientConn = near
+		results := startRoundTrip(p, a)
+		conn, reader := backend.accept(t)
+		if closed {
+			if _, err := reader.ReadByte(); err != io.EOF {
+				t.Errorf("read from the attempt's connection: %v, want EOF", err)
+			}
+		} else {
+			readRequest(t, reader)
+			respondOK(conn, "")
+			conn.Close()
+		}
+		want := policy.Served
+		if closed {
+			want = policy.ConnectFailed
+		}
+		if got := await(t, results, "result"); got.outcome != want || a.request.disconnected.Load() != closed {
+			t.Errorf("client closed %t: outcome %v, disconnected %t", closed, got.outcome, a.request.disconnected.Load())
+		}
+	}
+}
--- a/internal/gateway/clientconnections_test.go
+++ b/internal/gateway/clientconnections_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -278,3 +279,41 @@
 		t.Error("the served connection was kept although there was no other one")
 	}
 }
+
+// While clients that write slowly, but don't stop, hold all slots, a new connection behind others in the accept queue is
+// answered or closed before its client's time is over, so that the client can send its request elsewhere.
+func TestFullTableDoesNotHoldUpAcceptQueue(t *testing.T) {
+	t.Parallel()
+	const (
+		waitingClients = 40
+		clientTimeout  = 1200 * time.Millisecond
+		lateLimit      = 500 * time.Millisecond // by which an answer may be later than the client's timeout
+	)
+	g := startTestGatewayWith(t, fewDescriptors, newPeer(t))
+	table := g.server.clientConnections
+	slow := make([]net.Conn, table.maxConns)
+	for i := range slow {
+		text := requestText("POST", "payment", strings.Repeat("x", 1000))
+		slow[i] = dial(t, g.address, text[:len(text)-999])
+	}
+	awaitCondition(t, "the table is not full of incomplete requests", func() bool {
+		return table.countByPhase()[phaseOpen] == table.maxConns
+	})
+	go func() {
+		for t.Context().Err() == nil {
+			for _, conn := range slow {
+				io.WriteString(conn, "x")
+			}
+			time.Sleep(maxStall / 4)
+		}
+	}()
+	for range waitingClients {
+		dial(t, g.address, "")
+	}
+	begin := time.Now()
+	conn := dial(t, g.address, requestText("GET", "lookup", "", timeLeftHeader, strconv.FormatInt(clientTimeout.Milliseconds(), 10)))
+	conn.Read(make([]byte, 1)) // an answer or the end of the connection
+	if took := time.Since(begin); took > clientTimeout+lateLimit {
+		t.Errorf("neither an answer nor a close for %v", took)
+	}
+}
--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -28,6 +29,8 @@
 
 	// response receives the final answer. It has capacity for the answer, so that the event loop never blocks.
 	response chan clientResponse
+	// clientConn is the connection of the client; nil in a hollow gateway.
+	clientConn net.Conn
 	// onSent is called in a hollow gateway when the first attempt reaches a backend; nil in other gateways.
 	onSent func()
 	// disconnected is set when the gateway detects that the client has disconnected. No attempt may begin once
@@ -46,6 +49,15 @@
 	return slices.ContainsFunc(req.attempts, (*attempt).mayHaveRun)
 }
 
+// clientClosed reports whether the client has disconnected. While the process is busy, the goroutine that watches the
+// client may not have run yet, so the socket is asked as well.
+func (req *clientRequest) clientClosed() bool {
+	if !req.disconnected.Load() && req.clientConn != nil && peerClosed(req.clientConn) {
+		req.disconnected.Store(true)
+	}
+	return req.disconnected.Load()
+}
+
 // addOwner records that another goroutine uses the request.
 func (req *clientRequest) addOwner() { req.owners.Add(1) }
 
--- a/internal/gateway/decode.go
+++ b/internal/gateway/decode.go
@@ -63,7 +63,7 @@
 	}
 	receivedAt := body.receivedAt // the client's timeout counts from the last byte of its request
 	if conn := clientConnOf(r); conn != nil {
-		receivedAt -= conn.takeRequestDelay().Seconds()
+		receivedAt -= max(conn.takeRequestDelay(), f.delay.recent(time.Now())).Seconds()
 	}
 	http.NewResponseController(w).SetReadDeadline(time.Time{})
 	policyRequest.SentAt = receivedAt
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -18,15 +18,17 @@
 	loop       *eventLoop
 	deployment *wire.Deployment
 	memory     *memoryBudget // for the bytes of requests
-	ready      atomic.Bool   // readiness checks may be answered 200; set by markReady
-	draining   atomic.Bool   // a graceful shutdown has begun: each connection is closed after its next answer
-	rejecting  atomic.Bool   // a graceful shutdown has stopped admitting requests
+	delay      *schedulingDelay
+	ready      atomic.Bool // readiness checks may be answered 200; set by markReady
+	draining   atomic.Bool // a graceful shutdown has begun: each connection is closed after its next answer
+	rejecting  atomic.Bool // a graceful shutdown has stopped admitting requests
 }
 
 // newFrontend returns a frontend without an event loop. The caller sets the loop before the first request.
 func newFrontend(config *Config) *frontend {
 	return &frontend{
 		deployment: &config.Deployment,
+		delay:      newSchedulingDelay(),
 		memory:     newMemoryBudget(requestsKind, config.limits().requestBytes, config.logger()),
 	}
 }
@@ -63,6 +65,7 @@
 		f.rejectLate(w, conn)
 		return
 	}
+	req.clientConn = conn.Conn
 	conn.request.Store(req)
 	defer conn.request.Store(nil)
 	f.serveRequest(w, r, conn, req)
@@ -107,10 +110,11 @@
 
 // retryAfter returns the value of Retry-After in rejections for lack of capacity; "" if the deployment allows none.
 func (f *frontend) retryAfter() string {
-	if !f.deployment.CanSendRetryAfter || f.deployment.MaxRetryAfter <= 0 {
+	seconds := f.deployment.LongestRetryAfter()
+	if seconds <= 0 {
 		return ""
 	}
-	return formatRetryAfter(f.deployment.MaxRetryAfter)
+	return formatRetryAfter(seconds)
 }
 
 // rejectLate rejects a request that arrives too late in a graceful shutdown: the request might still be open when the
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -40,11 +40,7 @@
 
 // unavailable returns the answer to a request that is rejected for lack of capacity.
 func (l *eventLoop) unavailable() clientResponse {
-	response := clientResponse{status: http.StatusServiceUnavailable}
-	if l.deployment.CanSendRetryAfter {
-		response.retryAfter = l.deployment.MaxRetryAfter
-	}
-	return response
+	return clientResponse{status: http.StatusServiceUnavailable, retryAfter: l.deployment.LongestRetryAfter()}
 }
 
 // correlationIDInUse reports whether a correlation id belongs to an open request, or to a recent one that was forwarded. A
--- a/internal/gateway/socket.go
+++ b/internal/gateway/socket.go
@@ -14,6 +14,13 @@
 	return errors.Is(err, syscall.EAGAIN)
 }
 
+// peerClosed reports, without blocking, whether the peer has closed the connection or its sending side. It can't
+// detect a close while there are unread bytes.
+func peerClosed(conn net.Conn) bool {
+	n, err := peek(conn)
+	return n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET)
+}
+
 // peek returns the number of bytes, at most one, that can be read from a connection. It returns 0 without an error at
 // the end of the stream, and EAGAIN if nothing has arrived.
 func peek(conn net.Conn) (n int, err error) {
--- a/policy/answer.go
+++ b/policy/answer.go
@@ -22,7 +22,7 @@
 		return 0
 	}
 	if req.admitted {
-		return e.settings.MaxRetryAfter
+		return e.settings.LongestRetryAfter()
 	}
 	if quota := req.customer.quota; quota.concurrencyLimit > 0 && quota.localConcurrency == 0 {
 		// The retry may reach another gateway. That gateway may have capacity for the customer after a mean
--- a/policy/customerlimit.go
+++ b/policy/customerlimit.go
@@ -18,11 +18,7 @@
 
 // rejectForCustomers rejects a request whose customer can't be added. No state is kept of the request.
 func (e *Engine) rejectForCustomers(arrival Request) {
-	retryAfter := 0.0
-	if e.settings.CanSendRetryAfter {
-		retryAfter = e.settings.MaxRetryAfter
-	}
-	e.emit(Reject{Request: arrival.ID, RetryAfter: retryAfter, Reason: ReasonCustomers})
+	e.emit(Reject{Request: arrival.ID, RetryAfter: e.settings.LongestRetryAfter(), Reason: ReasonCustomers})
 }
 
 // replenishedIdleTimeout returns the time in seconds after which an idle customer is forgotten if it is
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -37,6 +37,15 @@
 	Streamed         bool        // responses are streamed; decisions don't use it
 }
 
+// LongestRetryAfter returns the Retry-After of a rejection for lack of capacity in seconds: MaxRetryAfter, or 0
+// if rejections may carry none.
+func (s *Settings) LongestRetryAfter() float64 {
+	if !s.CanSendRetryAfter {
+		return 0
+	}
+	return max(s.MaxRetryAfter, 0)
+}
+
 // LongestDeadline returns the longest Deadline of the classes in seconds, 0 if there are no classes.
 func LongestDeadline(classes []Class) float64 {
 	longest := 0.0
