Do not hold up the accept queue while the table of connections stays full

Cause: each connection without a slot was waited for 0.1 s, one after the other. Change: after a wait without success, the next ones are waited for 10 ms until one gets a slot; then they are closed unread, as the terms allow in a crowd, and the client can go elsewhere.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -10,6 +10,9 @@
 // capacityPollInterval is the longest time for which awaitCapacity waits before it checks again for a free slot.
 const capacityPollInterval = 10 * time.Millisecond
 
+// shortFullWait replaces minEvictionGrace as the wait for a slot while the table stays full.
+const shortFullWait = capacityPollInterval
+
 // Bounds of the backoff after a failed accept. The backoff doubles with each consecutive failure.
 const (
 	minAcceptBackoff = time.Millisecond
@@ -45,14 +48,19 @@
 }
 
 // awaitCapacity adds a connection to the table as soon as there is a free slot. It returns nil if the table is still
-// full after minEvictionGrace/capacityPollInterval waits. Each wait lasts capacityPollInterval, or until a slot is
-// freed. If no slot is freed, the waits last minEvictionGrace in total. By then, a connection that has been idle since
-// the beginning of the first wait may be evicted.
+// full after minEvictionGrace. By then, a connection that has been idle since the beginning of the wait may be evicted.
+// After a wait without success, the next connections are waited for shortFullWait only, until one gets a slot: in a crowd,
+// connections would otherwise wait in the accept queue until their clients' time is over.
 func (c *clientConnections) awaitCapacity(netConn net.Conn) *clientConn {
 	defer c.slotWanted.Store(false)
-	for remaining := minEvictionGrace; ; remaining -= capacityPollInterval {
+	remaining := minEvictionGrace
+	if c.staysFull {
+		remaining = shortFullWait
+	}
+	for ; ; remaining -= capacityPollInterval {
 		conn := c.tryAdd(netConn)
 		if conn != nil || remaining <= 0 {
+			c.staysFull = conn == nil
 			return conn
 		}
 		if !c.slotWanted.Swap(true) {
