Make two tests independent of a busy machine

Cause: the first compares the acceptor's estimate, to which the wait for a processor is added now, and the test's own process had such waits; in the second, each client built 5,000 fields anew for each connection. Change: the tests of the accept queue read no waits for a processor; the heads are built once.

--- a/internal/gateway/acceptdelay_test.go
+++ b/internal/gateway/acceptdelay_test.go
@@ -50,6 +50,7 @@
 	listener := &channelListener{conns: make(chan net.Conn, 10)}
 	table := newClientConnections(listener, 1)
 	f := newFrontend(&config)
+	f.delay = delayOfIdleProcessor()
 	f.loop = &eventLoop{clock: newClock()}
 	accept := func() *clientConn {
 		conn, err := table.Accept()
@@ -123,6 +124,7 @@
 		t.Fatal(err)
 	}
 	f := newFrontend(&config)
+	f.delay = delayOfIdleProcessor()
 	f.loop = &eventLoop{clock: newClock()}
 	peer := newPeer(t)
 	listener := &channelListener{conns: make(chan net.Conn, 2)}
--- a/internal/gateway/schedulingdelay_test.go
+++ b/internal/gateway/schedulingdelay_test.go
@@ -78,3 +78,9 @@
 		t.Errorf("the recent delay is %v", got)
 	}
 }
+
+// delayOfIdleProcessor returns a schedulingDelay that reads nothing, for tests of other delays. On a busy machine, the
+// goroutines of the tests wait for a processor.
+func delayOfIdleProcessor() *schedulingDelay {
+	return &schedulingDelay{readAt: time.Now().Add(time.Hour)}
+}
--- a/internal/lab/hostile/message.go
+++ b/internal/lab/hostile/message.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -58,6 +59,13 @@
 	return text.String()
 }
 
+// Heads without end, which are the same for all clients.
+var (
+	distinctFieldsHead = sync.OnceValue(func() string { return endlessHead(distinctFields(headLimit / 4)) })
+	repeatedFieldsHead = sync.OnceValue(func() string { return endlessHead("a:\n") })
+	longFieldHead      = sync.OnceValue(func() string { return endlessHead("a: " + strings.Repeat("x", headLimit)) })
+)
+
 // endlessHead returns the beginning of a request's head, filled up to the longest head with the given text.
 func endlessHead(filling string) string {
 	const start = "POST / HTTP/1.1\r\n"
@@ -69,11 +77,11 @@
 func (m *messages) incomplete(shape Shape) string {
 	switch shape {
 	case DistinctFields:
-		return endlessHead(distinctFields(headLimit / 4))
+		return distinctFieldsHead()
 	case RepeatedFields:
-		return endlessHead("a:\n")
+		return repeatedFieldsHead()
 	case LongField:
-		return endlessHead("a: " + strings.Repeat("x", headLimit))
+		return longFieldHead()
 	case IncompleteBody:
 		text := m.request(m.nextID(), "", longBodyBytes)
 		return text[:len(text)-1]
