--- a/cmd/amberlb/memory_test.go
+++ b/cmd/amberlb/memory_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os/exec"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -39,11 +38,7 @@
 // that stay incomplete, as in the incident behind this test, nor by complete requests that wait for their answers. Short
 // requests of another client are served meanwhile.
 func TestClientsCannotExceedMemoryLimit(t *testing.T) {
-	dir := t.TempDir()
-	// The test binary may contain the race detector, which multiplies the memory.
-	if output, err := exec.Command("go", "build", "-o", dir, ".").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, output)
-	}
+	program := buildCommand(t)
 	for _, c := range []struct {
 		name    string
 		hang    bool // the backends never respond
@@ -56,7 +51,7 @@
 		{"complete requests", true, func(n int64) string { return floodRequest(n, maxBodyBytes) }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			f := startFlood(t, dir, soak.Behavior{Hang: c.hang})
+			f := startFlood(t, program, soak.Behavior{Hang: c.hang})
 			f.run(c.message)
 			served := f.sendRequests(t)
 			f.clients.Wait()
@@ -90,15 +85,15 @@
 	stopWatch   func() (peak int64) // stops the watch of the memory, and returns the peak in bytes
 }
 
-// startFlood starts a gateway with the program in dir, and waits until it is ready.
-func startFlood(t *testing.T, dir string, behavior soak.Behavior) *flood {
+// startFlood starts a gateway, and waits until it is ready.
+func startFlood(t *testing.T, program gatewayprocess.Program, behavior soak.Behavior) *flood {
 	t.Helper()
 	classes := []soak.Class{{Name: string(soak.NonIdempotent), Idempotency: soak.NonIdempotent, Deadline: floodTimeout}}
 	_, discovery := startBackends(t, soak.NewClock(), behavior)
 	options := gatewayOptions(t, classes, discovery)
 	options.MemoryMB = memoryLimitMB
 	options.DescriptorLimit = descriptorLimit
-	process, err := gatewayprocess.Start(t.Context(), gatewayprocess.Program{Command: "exec ./amberlb", Dir: dir}, options)
+	process, err := gatewayprocess.Start(t.Context(), program, options)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -177,10 +177,11 @@
 	return c.table.incompleteStatus(c)
 }
 
-// rejectIncomplete answers a request whose head is still incomplete when the gateway stops waiting for the rest, or whose
-// head is not passed on. The HTTP server would close the connection without an answer. A client that has just sent the last byte could not
-// distinguish that close from the loss of its request. After the answer, rejectIncomplete reads and discards bytes
-// for lingerTime at most: closing a connection with unread bytes resets it, and the client might lose the answer.
+// rejectIncomplete answers a request that is still incomplete when the gateway stops waiting for the rest, or whose head
+// is not passed on. The HTTP server would close the connection without an answer. A client that has just sent the last
+// byte could not distinguish that close from the loss of its request. After the answer, rejectIncomplete reads and
+// discards bytes for lingerTime at most: closing a connection with unread bytes resets it, and the client might lose the
+// answer.
 func (c *clientConn) rejectIncomplete(status int) {
 	c.table.metrics.add(requestsIncomplete)
 	c.rejected = true
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -108,9 +108,8 @@
 }
 
 // handleFailure handles the error of a failed poll. After an invalid list, or if nobody listens at the address of
-// discovery, the next poll asks for the full list. After
-// a poll for the full list has timed out, the next poll gets a longer timeout. handleFailure logs at most one error in
-// discoveryWarnInterval.
+// discovery, the next poll asks for the full list. After a poll for the full list has timed out, the next poll gets a
+// longer timeout. handleFailure logs at most one error in discoveryWarnInterval.
 func (w *discoveryWatcher) handleFailure(ctx context.Context, err error) {
 	var invalidList *invalidListError
 	if errors.As(err, &invalidList) || errors.Is(err, syscall.ECONNREFUSED) {
--- a/internal/gateway/readdeadline.go
+++ b/internal/gateway/readdeadline.go
@@ -30,11 +30,11 @@
 // beginWait records that the wait for the next bytes of an incomplete request begins.
 func (c *clientConn) beginWait() {
 	c.wakes = true
-	now := time.Now()
 	c.table.mu.Lock()
-	c.waitingSince = now
-	c.table.mu.Unlock()
-	c.setWakeAt(now.Add(maxStall))
+	defer c.table.mu.Unlock()
+	c.waitingSince = time.Now()
+	c.replaceWakeAt(c.waitingSince.Add(maxStall))
+	c.applyReadDeadline() // an error needs no handling: the next read fails as well
 }
 
 // isWanted reports whether another client waits for the connection's slot, or for memory that its request holds.
--- a/internal/gateway/requestbody.go
+++ b/internal/gateway/requestbody.go
@@ -17,7 +17,7 @@
 	// maxMemoryWaitShare is the largest share of a client's timeout that its request waits for memory. It is below a half:
 	// a rejection after half of the timeout costs a part of the request's weight.
 	maxMemoryWaitShare = 0.4
-	// maxStall is the longest wait for the next bytes of a request that holds memory while another request waits for memory.
+	// maxStall is the longest wait for the next bytes of a request while another client waits for its memory or its slot.
 	maxStall = 250 * time.Millisecond
 )
 
