Do not let a test depend on which queued connection gets the freed slot

Cause, in the test: a timer frees the slot 115 ms after the start, and the third connection was expected to get it. The waits for the first two last 110 ms and the lateness of eleven timers; when that is over 5 ms, the second one gets the slot. The third then stays in the queue, so that the queue was not empty at the next step, and the gateway's estimate was right. Change: the queue holds 50 connections, any may get the slot, and the rest is taken out before the next step. Checks and bounds are the same; each connection has waited since the same moment.

--- a/internal/gateway/acceptdelay_test.go
+++ b/internal/gateway/acceptdelay_test.go
@@ -36,7 +36,10 @@
 // While the table is full, connections wait in the accept queue. The time of this wait counts against the client's
 // timeout: the deadline of the request comes earlier by that time. Without a wait, the deadline does not change.
 func TestTimeInAcceptQueueCountsAgainstDeadline(t *testing.T) {
-	const clientTimeout = 5 * time.Second
+	const (
+		clientTimeout = 5 * time.Second
+		queued        = 50 // more connections than Accept refuses before the table has a free slot
+	)
 	config, err := parseConfig([]byte(configText("127.0.0.1:1", testSettings)))
 	if err != nil {
 		t.Fatal(err)
@@ -47,7 +50,7 @@
 		send(t, near, far, requestText("GET", "lookup", "", timeLeftHeader, "5000"))
 		return near
 	}
-	listener := &channelListener{conns: make(chan net.Conn, 10)}
+	listener := &channelListener{conns: make(chan net.Conn, queued)}
 	table := newClientConnections(listener, 1)
 	f := newFrontend(&config)
 	f.delay = delayOfIdleProcessor()
@@ -67,9 +70,9 @@
 	if left := timeLeft(first); left < 4900*time.Millisecond {
 		t.Errorf("without a wait, %v of %v are left", left, clientTimeout)
 	}
-	// The first two of these connections get no slot, and Accept waits minEvictionGrace and shortFullWait for them. The third
-	// gets the slot that remove frees.
-	for range 3 {
+	// All of these connections wait in the queue from now on. Accept waits minEvictionGrace for a slot for the first of them, and
+	// shortFullWait for each of the next. Which of them gets the slot that remove frees depends on the timers.
+	for range queued {
 		listener.conns <- arrive()
 	}
 	began := time.Now()
@@ -78,14 +81,17 @@
 		defer table.mu.Unlock()
 		table.remove(first)
 	})
-	third := accept()
+	later := accept()
 	waited := time.Since(began)
-	if left := timeLeft(third); left > clientTimeout-waited+5*time.Millisecond || waited < minEvictionGrace+shortFullWait {
+	if left := timeLeft(later); left > clientTimeout-waited+5*time.Millisecond || waited < minEvictionGrace+shortFullWait {
 		t.Errorf("after a wait of %v, %v of %v are left", waited, left, clientTimeout)
 	}
+	for len(listener.conns) > 0 {
+		(<-listener.conns).Close()
+	}
 	// The table has a free slot and the accept queue is empty. The next connection arrives while Accept is waiting.
 	table.mu.Lock()
-	table.remove(third)
+	table.remove(later)
 	table.mu.Unlock()
 	next := arrive()
 	listener.onAccept = func() {
