Compute the time in the accept queue from its length

Cause: the kernel doesn't tell when a connection arrived, and an Accept of over 1 ms was taken for one that had blocked on an empty queue; on a busy core it had only waited for a processor. Where no such pause came, the estimate grew for as long as the queue held anything, and requests of a lasting crowd would have seemed out of time. Change: TCP_INFO of the listening socket tells the number of waiting connections before each Accept. Those behind them arrive later, so a mark of time and number bounds the wait from both sides. A listener that can't be asked (or fails to answer) is judged by the duration of the call, as before.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -83,7 +83,6 @@
 		if err == nil || errors.Is(err, net.ErrClosed) {
 			return netConn, err
 		}
-		c.acceptDelay.acceptFailed(time.Now())
 		c.metrics.add(acceptsFailed)
 		if backoff == minAcceptBackoff {
 			c.log.Warn("accepting a connection failed", "error", err)
@@ -95,7 +94,7 @@
 // acceptOnce accepts a connection. After stopAccepting, it accepts only the connections that wait in the kernel's
 // accept queue (see acceptQueued).
 func (c *clientConnections) acceptOnce() (net.Conn, error) {
-	c.acceptDelay.acceptCalled(time.Now())
+	c.acceptDelay.acceptCalled(time.Now(), c.queue)
 	netConn, err := c.Listener.Accept()
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return c.acceptQueued()
--- a/internal/gateway/acceptdelay.go
+++ b/internal/gateway/acceptdelay.go
@@ -5,40 +5,87 @@
 	"time"
 )
 
-// emptyQueueThreshold is a duration of an Accept call. If a call takes this long or longer, the kernel's accept queue
-// was empty when the call began.
-const emptyQueueThreshold = time.Millisecond
+// Parameters of acceptDelay.
+const (
+	marksPerDelay  = 8                // number of queueMarks that are made during the computed delay
+	blockingAccept = time.Millisecond // an Accept call that takes this long has blocked, if nothing is known of the queue
+)
 
 // acceptDelay computes an upper bound on the time that a connection has waited in the kernel's accept queue. The
-// kernel does not report when a connection arrived. A connection that Accept returns at once may have arrived at any
-// time since the queue was last known to be empty. Of that period, only the time between Accept calls counts, because
-// Accept does not block while connections wait. An acceptDelay is owned by the goroutine that calls Accept. The zero
-// value is ready to use.
+// kernel does not report when a connection arrived, but how many connections are waiting at a moment: those behind them
+// arrive later. The bound does not cover the time for which the goroutine waits for a processor after a blocking Accept
+// call. An acceptDelay is owned by the goroutine that calls Accept.
 type acceptDelay struct {
-	lastReturn time.Time     // when Accept last returned; zero: never
-	lastCall   time.Time     // when Accept was last called
-	busyTime   time.Duration // time between Accept calls since the queue was last known to be empty
+	earliest time.Time   // connections that have not been accepted yet arrived at this time or later
+	accepted int         // number of accepted connections
+	marks    []queueMark // those whose connections have not all been accepted, in the order of time
+
+	// State of the last call of Accept:
+	calledAt    time.Time
+	length      int  // number of connections that were waiting
+	lengthKnown bool // length is known
+}
+
+// newAcceptDelay returns the acceptDelay of a listener that is opened now.
+func newAcceptDelay(now time.Time) acceptDelay { return acceptDelay{earliest: now} }
+
+// queueMark is a moment at which the length of the queue was known.
+type queueMark struct {
+	at   time.Time
+	last int // number of the last connection that had arrived; the first accepted connection has number 1
+}
+
+// acceptCalled records that Accept is about to be called for a listener with the given queue.
+func (d *acceptDelay) acceptCalled(now time.Time, queue acceptQueue) {
+	d.calledAt = now
+	d.length, d.lengthKnown = queue.queueLength()
+	if !d.lengthKnown {
+		return
+	}
+	if d.length == 0 {
+		d.earliest = now
+		d.marks = d.marks[:0]
+		return
+	}
+	d.addMark()
+	d.passMarks()
 }
 
-// acceptCalled records that Accept is about to be called.
-func (d *acceptDelay) acceptCalled(now time.Time) {
-	if !d.lastReturn.IsZero() {
-		d.busyTime += now.Sub(d.lastReturn)
+// addMark adds a mark for the length of the queue at calledAt, unless the last mark is recent.
+func (d *acceptDelay) addMark() {
+	interval := d.calledAt.Sub(d.earliest) / marksPerDelay
+	if n := len(d.marks); n > 0 && d.calledAt.Sub(d.marks[n-1].at) < interval {
+		return
 	}
-	d.lastCall = now
+	d.marks = append(d.marks, queueMark{at: d.calledAt, last: d.accepted + d.length})
 }
 
-// acceptFailed records that Accept has returned an error. An error does not show whether the queue was empty.
-func (d *acceptDelay) acceptFailed(now time.Time) { d.lastReturn = now }
+// passMarks removes the marks whose connections have all been accepted, and moves earliest to the last of them.
+func (d *acceptDelay) passMarks() {
+	passed := 0
+	for passed < len(d.marks) && d.marks[passed].last <= d.accepted {
+		d.earliest = d.marks[passed].at
+		passed++
+	}
+	d.marks = append(d.marks[:0], d.marks[passed:]...)
+}
 
 // acceptReturned records that Accept has returned a connection, and returns the earliest time at which the connection
 // can have arrived.
-func (d *acceptDelay) acceptReturned(now time.Time) (earliest time.Time) {
-	if now.Sub(d.lastCall) >= emptyQueueThreshold {
-		d.busyTime = 0
+func (d *acceptDelay) acceptReturned(now time.Time) time.Time {
+	d.accepted++
+	if d.calledWithEmptyQueue(now) {
+		d.earliest = now
+	}
+	return d.earliest
+}
+
+// calledWithEmptyQueue reports whether the connection that Accept returns now has arrived during the call.
+func (d *acceptDelay) calledWithEmptyQueue(now time.Time) bool {
+	if d.lengthKnown {
+		return d.length == 0
 	}
-	d.lastReturn = now
-	return now.Add(-d.busyTime)
+	return now.Sub(d.calledAt) >= blockingAccept
 }
 
 // unreadDelay returns the longest time that the unread bytes of a connection can have waited. The argument earliest is
--- a/internal/gateway/acceptdelay_test.go
+++ b/internal/gateway/acceptdelay_test.go
@@ -27,6 +27,9 @@
 	return nil, net.ErrClosed
 }
 
+// queueLength returns the number of connections that wait on the channel.
+func (l *channelListener) queueLength() (length int, known bool) { return len(l.conns), true }
+
 // Close does nothing.
 func (l *channelListener) Close() error { return nil }
 
@@ -149,7 +152,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if left := time.Until(f.requestDeadline(t, conn.(*clientConn))); left > clientTimeout-busy {
-		t.Errorf("%v of %v are left after %v in the accept queue", left, clientTimeout, busy)
+	if left := time.Until(f.requestDeadline(t, conn.(*clientConn))); left > clientTimeout-busy-noProcessor {
+		t.Errorf("%v of %v are left after %v in the accept queue", left, clientTimeout, busy+noProcessor)
 	}
 }
--- a/internal/gateway/clientconnections.go
+++ b/internal/gateway/clientconnections.go
@@ -24,6 +24,7 @@
 // without an open request. The connections without activity for the longest time are evicted first.
 type clientConnections struct {
 	net.Listener
+	queue    acceptQueue // of the listener
 	maxConns int
 	metrics  *metrics
 	memory   *memoryBudget // for the bytes of requests
@@ -57,13 +58,15 @@
 // replace the metrics, the memory and the log of the table before the first Accept; the memory is unlimited at first.
 func newClientConnections(listener net.Listener, maxConns int) *clientConnections {
 	return &clientConnections{
-		Listener:  listener,
-		maxConns:  maxConns,
-		metrics:   &metrics{},
-		memory:    newUnlimitedBudget(requestsKind),
-		log:       slog.Default(),
-		slotFreed: make(chan struct{}, 1),
-		conns:     map[*clientConn]struct{}{},
+		Listener:    listener,
+		queue:       acceptQueueOf(listener),
+		acceptDelay: newAcceptDelay(time.Now()),
+		maxConns:    maxConns,
+		metrics:     &metrics{},
+		memory:      newUnlimitedBudget(requestsKind),
+		log:         slog.Default(),
+		slotFreed:   make(chan struct{}, 1),
+		conns:       map[*clientConn]struct{}{},
 	}
 }
 
