Skip the trailers of responses instead of parsing them

A backend, or what answers at its address, could make each attempt hold some 60 KB more than any budget knew. Change: a chunked body is read by its own reader, and the trailer is read line by line and dropped, up to 4 KiB. Trailers were never passed on to clients. Truncated and too long ones fail the attempt as before.

--- a/internal/gateway/backendconn.go
+++ b/internal/gateway/backendconn.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httputil"
 	"os"
 	"time"
 
@@ -15,14 +17,19 @@
 
 const (
 	maxResponseBytes    = 128 << 10 // bytes; maximum size of a response, with headers, framing and interim responses
+	maxTrailerBytes     = 4 << 10   // bytes; maximum size of the trailer behind a chunked body
 	maxInterimResponses = 8         // number of interim (1xx) responses after which no final response is read
 
 	// unreservedResponseBytes is the size in bytes up to which a response needs no memory of the budget.
 	unreservedResponseBytes = 4 << 10
 )
 
-// errTooManyInterimResponses is returned if the first maxInterimResponses responses to a request are all interim (1xx).
-var errTooManyInterimResponses = errors.New("too many interim responses without a final one")
+var (
+	// errTooManyInterimResponses is returned if the first maxInterimResponses responses to a request are all interim (1xx).
+	errTooManyInterimResponses = errors.New("too many interim responses without a final one")
+	// errTrailerTooLong is returned for a response whose trailer has more than maxTrailerBytes.
+	errTrailerTooLong = errors.New("the trailer of the response is too long")
+)
 
 // backendConn is a connection to a backend. It carries one request at a time. The mutex of connectionPools guards
 // endpoint and idleSince; the other fields belong to the attempt that uses the connection.
@@ -103,7 +110,6 @@
 
 // receiveBody reserves memory for a response, and then reads its body.
 func (c *backendConn) receiveBody(ctx context.Context, resp *http.Response) (receivedResponse, error) {
-	defer resp.Body.Close()
 	switch {
 	case !hasDelimitedBody(resp):
 		return receivedResponse{}, errUndelimitedBody
@@ -115,7 +121,7 @@
 		return receivedResponse{}, err
 	}
 	memory.merge(c.responses.takeHeadMemory())
-	body, err := readBody(resp.Body, resp.ContentLength)
+	body, err := c.readBody(resp)
 	if err != nil {
 		memory.release()
 		return receivedResponse{}, err
@@ -123,6 +129,35 @@
 	return receivedResponse{resp, body, memory}, nil
 }
 
+// readBody reads the body of a response, and what is behind it up to the end of the response. A chunked body is not read
+// through resp, whose reader parses the trailer: short fields take far more memory in parsed form.
+func (c *backendConn) readBody(resp *http.Response) ([]byte, error) {
+	if resp.Body == http.NoBody || len(resp.TransferEncoding) == 0 {
+		defer resp.Body.Close()
+		return readBody(resp.Body, resp.ContentLength)
+	}
+	body, err := readBody(httputil.NewChunkedReader(c.reader), resp.ContentLength)
+	if err != nil {
+		return nil, err
+	}
+	return body, c.skipTrailer()
+}
+
+// skipTrailer reads the trailer behind the last chunk, up to the empty line that ends it.
+func (c *backendConn) skipTrailer() error {
+	for size := 0; size <= maxTrailerBytes; {
+		line, err := c.reader.ReadSlice('\n')
+		if err != nil {
+			return err
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return nil
+		}
+		size += len(line)
+	}
+	return errTrailerTooLong
+}
+
 // reserveMemory reserves the memory that a response needs beyond unreservedResponseBytes. A body without a stated length
 // counts as maxBodyBytes. While reserveMemory waits, the rest of the response stays in the socket. A response whose head
 // holds memory does not wait (see memoryBudget.reserveMore).
--- a/internal/gateway/requesthead_test.go
+++ b/internal/gateway/requesthead_test.go
@@ -11,6 +11,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"amberlb/policy"
 )
 
 // shortFields returns n short header lines with different names.
@@ -264,6 +266,41 @@
 	}
 }
 
+// The trailer behind a chunked body has no budget. It is skipped without being parsed, and the connection stays usable.
+func TestTrailerOfResponseTakesNoMemory(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+	const responses = 100
+	fields := shortFields(500) // 2.7 KB
+	read := func(response string) (attemptResult, bool) {
+		conn := &backendConn{responses: &responseReader{}, memory: newUnlimitedBudget(responsesKind)}
+		conn.responses.limit.R = strings.NewReader(response)
+		conn.reader = bufio.NewReader(conn.responses)
+		return conn.readResponse(t.Context(), http.MethodGet)
+	}
+	allocated := func(response string) uint64 { // bytes for each response
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		for range responses {
+			result, reusable := read(response)
+			if result.outcome != policy.Served || string(result.body) != "ok" || !reusable {
+				t.Fatalf("outcome %v, body %q, connection reusable %t", result.outcome, result.body, reusable)
+			}
+		}
+		runtime.ReadMemStats(&after)
+		return (after.TotalAlloc - before.TotalAlloc) / responses
+	}
+	without, with := allocated(chunked+"\r\n"), allocated(chunked+fields+"\r\n")
+	if with > without+unreservedPartBytes {
+		t.Errorf("%d bytes for a response with a trailer of %d bytes, %d without", with, len(fields), without)
+	}
+	for _, trailer := range []string{"", fields, strings.Repeat(fields, 2) + "\r\n", strings.Repeat("x", 5<<10) + "\r\n\r\n"} {
+		if result, reusable := read(chunked + trailer); result.outcome != policy.ConnectionReset || reusable {
+			t.Errorf("a trailer of %d bytes that is incomplete or too long: %v, connection reusable %t",
+				len(trailer), result.outcome, reusable)
+		}
+	}
+}
+
 // A response's head for which no memory becomes free until the attempt's deadline ends the attempt, and a response that
 // holds memory for its head never waits for that of its body.
 func TestResponseHeadsWaitForMemory(t *testing.T) {
