Count a request's whole wait in its socket against its deadline

A trial that asked the kernel for the time since the last bytes showed waits of 0.2 to 0.5 s between the accept of a connection and its first read, and between the parts of a request, on a core that hundreds of reconnecting clients keep busy. Cause: the wait was measured at the accept, and estimated by recent scheduling delays after that. Change: each connection keeps the earliest time at which the bytes read last can have arrived. A look at the socket before a read tells whether it holds bytes, which then count from the time before, or is empty. Only a read that blocks is corrected by the scheduling delay, and never to before it began. Waits for memory and pauses need no sums of their own any more. The accept queue counts from the opening.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -34,7 +34,7 @@
 		if err != nil {
 			return nil, err
 		}
-		earliestArrival := c.acceptDelay.acceptReturned(time.Now())
+		earliestArrival := c.acceptReturned()
 		conn := c.awaitCapacity(netConn)
 		if conn == nil {
 			c.metrics.add(connectionsOverLimit)
@@ -42,11 +42,21 @@
 			continue
 		}
 		c.metrics.add(connectionsAccepted)
-		conn.requestDelay = unreadDelay(netConn, earliestArrival)
+		conn.setUnreadSince(earliestArrival)
 		return conn, nil
 	}
 }
 
+// acceptReturned records that the listener has returned a connection, and returns the earliest time at which the connection
+// can have arrived.
+func (c *clientConnections) acceptReturned() time.Time {
+	now := time.Now()
+	if !c.acceptDelay.hasBlocked(now) {
+		return c.acceptDelay.acceptReturned(now, 0)
+	}
+	return c.acceptDelay.acceptReturned(now, c.wakeUpDelay(now))
+}
+
 // awaitCapacity adds a connection to the table as soon as there is a free slot. It returns nil if the table is still
 // full after minEvictionGrace. By then, a connection that has been idle since the beginning of the wait may be evicted.
 // After a wait without success, the next connections are waited for shortFullWait only, until one gets a slot: in a crowd,
--- a/internal/gateway/acceptdelay.go
+++ b/internal/gateway/acceptdelay.go
@@ -1,9 +1,6 @@
 package gateway
 
-import (
-	"net"
-	"time"
-)
+import "time"
 
 // Parameters of acceptDelay.
 const (
@@ -13,8 +10,7 @@
 
 // acceptDelay computes an upper bound on the time that a connection has waited in the kernel's accept queue. The
 // kernel does not report when a connection arrived, but how many connections are waiting at a moment: those behind them
-// arrive later. The bound does not cover the time for which the goroutine waits for a processor after a blocking Accept
-// call. An acceptDelay is owned by the goroutine that calls Accept.
+// arrive later. An acceptDelay is owned by the goroutine that calls Accept.
 type acceptDelay struct {
 	earliest time.Time   // connections that have not been accepted yet arrived at this time or later
 	accepted int         // number of accepted connections
@@ -71,29 +67,19 @@
 }
 
 // acceptReturned records that Accept has returned a connection, and returns the earliest time at which the connection
-// can have arrived.
-func (d *acceptDelay) acceptReturned(now time.Time) time.Time {
+// can have arrived. If the call has blocked, it returned wakeUpDelay after the arrival of the connection.
+func (d *acceptDelay) acceptReturned(now time.Time, wakeUpDelay time.Duration) time.Time {
 	d.accepted++
-	if d.calledWithEmptyQueue(now) {
-		d.earliest = now
+	if d.hasBlocked(now) {
+		d.earliest = laterTime(d.calledAt, now.Add(-wakeUpDelay))
 	}
 	return d.earliest
 }
 
-// calledWithEmptyQueue reports whether the connection that Accept returns now has arrived during the call.
-func (d *acceptDelay) calledWithEmptyQueue(now time.Time) bool {
+// hasBlocked reports whether the connection that Accept returns now has arrived during the call.
+func (d *acceptDelay) hasBlocked(now time.Time) bool {
 	if d.lengthKnown {
 		return d.length == 0
 	}
 	return now.Sub(d.calledAt) >= blockingAccept
 }
-
-// unreadDelay returns the longest time that the unread bytes of a connection can have waited. The argument earliest is
-// the earliest time at which the connection can have arrived. The result is 0 if the connection is open and has no
-// unread bytes.
-func unreadDelay(conn net.Conn, earliest time.Time) time.Duration {
-	if isOpenWithoutInput(conn) {
-		return 0
-	}
-	return time.Since(earliest)
-}
--- a/internal/gateway/acceptdelay_test.go
+++ b/internal/gateway/acceptdelay_test.go
@@ -56,7 +56,7 @@
 	listener := &channelListener{conns: make(chan net.Conn, queued)}
 	table := newClientConnections(listener, 1)
 	f := newFrontend(&config)
-	f.delay = delayOfIdleProcessor()
+	table.delay = delayOfIdleProcessor()
 	f.loop = &eventLoop{clock: newClock()}
 	accept := func() *clientConn {
 		conn, err := table.Accept()
@@ -133,11 +133,11 @@
 		t.Fatal(err)
 	}
 	f := newFrontend(&config)
-	f.delay = delayOfIdleProcessor()
 	f.loop = &eventLoop{clock: newClock()}
 	peer := newPeer(t)
 	listener := &channelListener{conns: make(chan net.Conn, 2)}
 	table := newClientConnections(listener, 2)
+	table.delay = delayOfIdleProcessor()
 	for range 2 {
 		near, far := connPair(t, peer)
 		send(t, near, far, requestText("GET", "lookup", "", timeLeftHeader, "5000"))
--- a/internal/gateway/acceptqueue.go
+++ b/internal/gateway/acceptqueue.go
@@ -3,13 +3,8 @@
 import (
 	"net"
 	"syscall"
-
-	"golang.org/x/sys/unix"
 )
 
-// tcpListen is the value of unix.TCPInfo.State for a listening socket (TCP_LISTEN in Linux's net/tcp_states.h).
-const tcpListen = 10
-
 // acceptQueue is the kernel's queue of the connections of a listener that have not been accepted yet. Connections are
 // accepted in the order of their arrival.
 type acceptQueue interface {
@@ -41,12 +36,8 @@
 
 // queueLength asks for TCP_INFO, whose field tcpi_unacked is the length of the queue if the socket is listening.
 func (q socketAcceptQueue) queueLength() (length int, known bool) {
-	var info *unix.TCPInfo
-	var optionErr error
-	controlErr := q.raw.Control(func(fd uintptr) {
-		info, optionErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-	})
-	if controlErr != nil || optionErr != nil || info.State != tcpListen {
+	info, err := tcpInfo(q.raw)
+	if err != nil || tcpState(info.State) != tcpListen {
 		return 0, false
 	}
 	return int(info.Unacked), true
--- a/internal/gateway/acceptqueue_test.go
+++ b/internal/gateway/acceptqueue_test.go
@@ -78,7 +78,7 @@
 	q.now = max(q.now, q.arrivals[q.accepted])
 	waited = q.now - q.arrivals[q.accepted]
 	q.accepted++
-	return waited, q.began.Add(q.now).Sub(d.acceptReturned(q.began.Add(q.now)))
+	return waited, q.began.Add(q.now).Sub(d.acceptReturned(q.began.Add(q.now), 0))
 }
 
 // While connections arrive faster than they can be accepted, the queue never becomes empty. The delay that is computed
--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -49,10 +49,9 @@
 	rejections *rate.Limiter // for the answers that serve nothing; nil before the first one
 	pause      time.Duration // wait before the next request is read
 
-	// requestDelay is the longest time that the current request can have waited before it was read: before its connection
-	// was accepted, or for memory of its head. The field needs no lock: it is set before the connection is served, and then
-	// used only by the goroutine that serves the connection.
-	requestDelay time.Duration
+	// unreadSince is the earliest time at which the bytes that have been read last can have arrived (see readSocket). It is
+	// set before the connection is served, and then used only by the goroutine that serves the connection.
+	unreadSince time.Time
 
 	// request is the open request, which is logged if a graceful shutdown leaves it unanswered; nil if no request is
 	// open.
@@ -84,12 +83,13 @@
 	}
 	if c.framer.isComplete() {
 		c.framer.reset()
+		c.unreadSince = time.Now()
 		c.pauseBeforeRequest()
 	}
 	if len(c.unread.bytes) > 0 {
 		return c.readUnread(p)
 	}
-	n, err := c.readBytes(p)
+	n, err := c.readSocket(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		n, err = c.readTimedOut(p, err)
 	}
@@ -207,10 +207,3 @@
 	}
 	return nil
 }
-
-// takeRequestDelay returns requestDelay and sets it to 0.
-func (c *clientConn) takeRequestDelay() time.Duration {
-	delay := c.requestDelay
-	c.requestDelay = 0
-	return delay
-}
--- a/internal/gateway/clientconnections.go
+++ b/internal/gateway/clientconnections.go
@@ -28,6 +28,7 @@
 	maxConns int
 	metrics  *metrics
 	memory   *memoryBudget // for the bytes of requests
+	delay    *schedulingDelay
 	log      *slog.Logger
 
 	retryAfter  string        // Retry-After of answers to requests that are not read to their end; "": none
@@ -64,6 +65,7 @@
 		maxConns:    maxConns,
 		metrics:     &metrics{},
 		memory:      newUnlimitedBudget(requestsKind),
+		delay:       newSchedulingDelay(),
 		log:         slog.Default(),
 		slotFreed:   make(chan struct{}, 1),
 		conns:       map[*clientConn]struct{}{},
--- a/internal/gateway/decode.go
+++ b/internal/gateway/decode.go
@@ -61,10 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	receivedAt := body.receivedAt // the client's timeout counts from the last byte of its request
-	if conn := clientConnOf(r); conn != nil {
-		receivedAt -= max(conn.takeRequestDelay(), f.delay.recent(time.Now())).Seconds()
-	}
+	receivedAt := f.receivedAt(r)
 	http.NewResponseController(w).SetReadDeadline(time.Time{})
 	policyRequest.SentAt = receivedAt
 	policyRequest.Deadline = timeout + receivedAt - responseMargin
@@ -83,6 +80,16 @@
 	return req, nil
 }
 
+// receivedAt returns the earliest time at which the last byte of a complete request can have arrived, in seconds of the
+// loop's clock. The client's timeout counts from that time.
+func (f *frontend) receivedAt(r *http.Request) float64 {
+	now := f.loop.clock.now()
+	if conn := clientConnOf(r); conn != nil {
+		return now - time.Since(conn.unreadSince).Seconds()
+	}
+	return now
+}
+
 // checkFraming rejects a request if net/http and a backend might find the end of the request at different bytes.
 func checkFraming(r *http.Request) error {
 	if !r.ProtoAtLeast(1, 1) {
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -18,17 +18,15 @@
 	loop       *eventLoop
 	deployment *wire.Deployment
 	memory     *memoryBudget // for the bytes of requests
-	delay      *schedulingDelay
-	ready      atomic.Bool // readiness checks may be answered 200; set by markReady
-	draining   atomic.Bool // a graceful shutdown has begun: each connection is closed after its next answer
-	rejecting  atomic.Bool // a graceful shutdown has stopped admitting requests
+	ready      atomic.Bool   // readiness checks may be answered 200; set by markReady
+	draining   atomic.Bool   // a graceful shutdown has begun: each connection is closed after its next answer
+	rejecting  atomic.Bool   // a graceful shutdown has stopped admitting requests
 }
 
 // newFrontend returns a frontend without an event loop. The caller sets the loop before the first request.
 func newFrontend(config *Config) *frontend {
 	return &frontend{
 		deployment: &config.Deployment,
-		delay:      newSchedulingDelay(),
 		memory:     newMemoryBudget(requestsKind, config.limits().requestBytes, config.logger()),
 	}
 }
--- a/internal/gateway/rejectionpace.go
+++ b/internal/gateway/rejectionpace.go
@@ -32,6 +32,5 @@
 	}
 	c.table.metrics.add(connectionsPaused)
 	time.Sleep(c.pause)
-	c.requestDelay += c.pause // a request may have arrived at the beginning of the pause
 	c.pause = 0
 }
--- a/internal/gateway/requestbody.go
+++ b/internal/gateway/requestbody.go
@@ -26,29 +26,25 @@
 
 // receivedBody is the body of a client's request.
 type receivedBody struct {
-	bytes      []byte
-	memory     reservation // for the whole request
-	receivedAt float64     // earliest time at which the last byte can have arrived, in seconds of the loop's clock
+	bytes  []byte
+	memory reservation // for the whole request
 }
 
 // receiveBody reserves memory for a request, and then reads its body. The argument timeout is the client's timeout in
 // seconds. The error is a *requestError.
 func (f *frontend) receiveBody(r *http.Request, timeout float64) (receivedBody, error) {
-	startedAt := f.loop.clock.now()
 	memory, err := f.reserveMemory(r, timeout)
 	if err != nil {
 		f.loop.metrics.add(requestsOverMemory)
 		return receivedBody{}, &requestError{http.StatusServiceUnavailable, err}
 	}
-	waited := f.loop.clock.now() - startedAt
 	body, err := readRequestBody(r, memory.budget)
 	if err != nil {
 		memory.release()
 		return receivedBody{}, err
 	}
 	memory.merge(takeHeadMemory(r))
-	// The last byte may have arrived before the wait for memory.
-	return receivedBody{bytes: body, memory: memory, receivedAt: f.loop.clock.now() - waited}, nil
+	return receivedBody{bytes: body, memory: memory}, nil
 }
 
 // reserveMemory reserves the memory that a request needs beyond unreservedRequestBytes. It waits until the read deadline
--- a/internal/gateway/requesthead.go
+++ b/internal/gateway/requesthead.go
@@ -37,12 +37,10 @@
 	if c.framer.headEnds {
 		bytes = c.framer.head.memory()
 	}
-	startedAt := time.Now()
-	waitUntil := c.readDeadlineBefore(startedAt.Add(c.table.maxHeadWait))
+	waitUntil := c.readDeadlineBefore(time.Now().Add(c.table.maxHeadWait))
 	ctx, cancel := context.WithDeadline(context.Background(), waitUntil)
 	defer cancel()
 	memory, err := c.table.memory.reserve(ctx, bytes)
-	c.requestDelay += time.Since(startedAt)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/gateway/unreadsince.go
@@ -0,0 +1,39 @@
+package gateway
+
+import "time"
+
+// setUnreadSince sets unreadSince for a new connection, which can have arrived at the given time at the earliest.
+func (c *clientConn) setUnreadSince(earliestArrival time.Time) {
+	c.unreadSince = time.Now()
+	if !isOpenWithoutInput(c.Conn) {
+		c.unreadSince = earliestArrival
+	}
+}
+
+// readSocket reads bytes as readBytes does, and moves unreadSince. Bytes that the socket held before the call may have been
+// waiting for as long as those that were read before them. If the socket was empty, the bytes have arrived during the call.
+func (c *clientConn) readSocket(p []byte) (int, error) {
+	began := time.Now()
+	wasEmpty := isOpenWithoutInput(c.Conn)
+	n, err := c.readBytes(p)
+	if wasEmpty {
+		now := time.Now()
+		c.unreadSince = laterTime(began, now.Add(-c.table.wakeUpDelay(now)))
+	}
+	return n, err
+}
+
+// wakeUpDelay returns the time for which bytes of a connection, or the connection itself, can have waited when a call that
+// has blocked returns them at the given time. On an idle processor, such a call returns at once. On a busy one, its
+// goroutine waits for its turn.
+func (c *clientConnections) wakeUpDelay(now time.Time) time.Duration {
+	return c.delay.recent(now)
+}
+
+// laterTime returns the later of two times.
+func laterTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
