Remember when bytes behind an open request arrived

A trial showed requests that were decoded 26 us after they were first looked at, and 372 to 468 ms after the kernel had received them, without any read of the socket in between. Cause: while the server still ends the answer, the watch for a disconnect receives the client's next request and keeps its bytes. The goroutine that serves the connection then waits for its turn, and the kept bytes said nothing of their arrival. Change: unreadBytes holds the earliest time at which its first byte can have arrived, and the next request counts from it. TestWaitOfRequestKeptDuringAnswerCountsAgainstDeadline failed before: a deadline 296 ms too late.

--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -83,7 +83,7 @@
 	}
 	if c.framer.isComplete() {
 		c.framer.reset()
-		c.unreadSince = time.Now()
+		c.beginUnreadSince()
 		c.pauseBeforeRequest()
 	}
 	if len(c.unread.bytes) > 0 {
@@ -116,6 +116,7 @@
 func (c *clientConn) passOn(received []byte) (int, error) {
 	readsHead := c.beginPart()
 	n := c.framer.advance(received)
+	c.unread.arrive(c.unreadSince)
 	if err := c.unread.add(received[n:], c.table.memory); err != nil {
 		c.clientGone = true // bytes are lost, so no further request can be read
 		c.flooded(err)
--- a/internal/gateway/unread.go
+++ b/internal/gateway/unread.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"syscall"
+	"time"
 )
 
 // Limits on the bytes that were received behind the current request and not read by the HTTP server yet.
@@ -19,9 +20,17 @@
 // the connection owns it. The zero value is empty.
 type unreadBytes struct {
 	bytes  []byte
+	since  time.Time   // earliest time at which the first of the bytes can have arrived
 	memory reservation // for the bytes beyond unreservedUnreadBytes
 }
 
+// arrive records that the next bytes can have arrived at the given time at the earliest.
+func (u *unreadBytes) arrive(earliest time.Time) {
+	if len(u.bytes) == 0 {
+		u.since = earliest
+	}
+}
+
 // drop drops the first n bytes, and frees the memory after the last byte.
 func (u *unreadBytes) drop(n int) {
 	u.bytes = u.bytes[n:]
@@ -93,6 +102,8 @@
 	if err != nil {
 		return err
 	}
+	now := time.Now()
+	c.unread.arrive(now.Add(-c.table.wakeUpDelay(now)))
 	if err := c.unread.add(p[:n], c.table.memory); err != nil {
 		return c.flooded(err)
 	}
@@ -118,6 +129,7 @@
 	if c.clientGone || isOpenWithoutInput(c.Conn) {
 		return
 	}
+	c.unread.arrive(c.unreadSince)
 	receiveNow := func(p []byte) (int, error) {
 		n, err := receive(c.Conn, p, syscall.MSG_DONTWAIT)
 		if n == 0 && err == nil {
--- a/internal/gateway/unreadsince.go
+++ b/internal/gateway/unreadsince.go
@@ -10,6 +10,14 @@
 	}
 }
 
+// beginUnreadSince sets unreadSince for the next request, whose first bytes may have been kept already.
+func (c *clientConn) beginUnreadSince() {
+	c.unreadSince = time.Now()
+	if len(c.unread.bytes) > 0 {
+		c.unreadSince = c.unread.since
+	}
+}
+
 // readSocket reads bytes as readBytes does, and moves unreadSince. Bytes that the socket held before the call may have been
 // waiting for as long as those that were read before them. If the socket was empty, the bytes have arrived during the call.
 func (c *clientConn) readSocket(p []byte) (int, error) {
--- a/internal/gateway/unreadsince_test.go
+++ b/internal/gateway/unreadsince_test.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"errors"
 	"io"
 	"net"
+	"net/http"
+	"os"
 	"testing"
 	"time"
 )
@@ -101,6 +104,32 @@
 	}
 }
 
+// While the answer to a request is written, the watch for a disconnect may receive the client's next request. It waits until
+// the goroutine that serves the connection gets a processor, and its client's time runs on meanwhile.
+func TestWaitOfRequestKeptDuringAnswerCountsAgainstDeadline(t *testing.T) {
+	f := newWaitFixture(t)
+	conn, far := f.accept(t, requestOfFixture())
+	f.frontend.requestDeadline(t, conn)
+	f.table.onConnState(conn, http.StateActive)
+	watchEnded := make(chan error, 1)
+	go func() {
+		_, err := conn.Read(make([]byte, 1))
+		watchEnded <- err
+	}()
+	sentAt := time.Now()
+	if _, err := io.WriteString(far, requestOfFixture()); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(fixtureWait)
+	conn.SetReadDeadline(aLongTimeAgo) // as the server does after the answer
+	if err := await(t, watchEnded, "end of the watch"); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatal(err)
+	}
+	conn.SetReadDeadline(time.Time{})
+	f.table.onConnState(conn, http.StateIdle)
+	f.expectDeadline(t, conn, sentAt)
+}
+
 // On a busy processor, a read may return long after its bytes have arrived. They can't have arrived before it began.
 func TestWaitForProcessorAfterBlockedReadCountsAgainstDeadline(t *testing.T) {
 	const processorWait = 2 * fixtureWait
