Soak: connect clients and backends directly where the plan has no network faults

Cause: all usual clients and backends of a soak were reached through proxies, also where the plan injects nothing. Their goroutines share a process with the hostile clients. The lab's own scheduling was charged to the gateway.

--- a/internal/lab/soak/gatewaynode.go
+++ b/internal/lab/soak/gatewaynode.go
@@ -12,12 +12,12 @@
 // startTimeout is the longest time that startProcess waits for a gateway to be ready.
 const startTimeout = 30 * time.Second
 
-// gatewayNode is a gateway with the proxy in front of it. The gateway has at most one running process at a time; each
+// gatewayNode is a gateway with the proxy in front of it, if the plan has network faults for it. The gateway has at most one running process at a time; each
 // restart starts a new process.
 type gatewayNode struct {
 	number  int
 	options GatewayOptions
-	proxy   *Proxy
+	proxy   *Proxy // nil: clients connect to the gateway itself
 
 	// The goroutine that currently starts or stops the gateway owns the three fields below.
 	process     *gatewayprocess.Gateway // the running process; nil: none
@@ -30,15 +30,18 @@
 	lastHardKilled int  // number of the last process with a hard kill; 0: none
 }
 
-// newGatewayNode creates a gateway and starts its proxy, but starts no process.
+// newGatewayNode creates a gateway and starts its proxy, but starts no process. Without network faults there is no proxy:
+// the lab's own scheduling would delay what the proxy forwards.
 func (r *runner) newGatewayNode(number int) (*gatewayNode, error) {
 	address, err := gatewayprocess.FreeAddress()
 	if err != nil {
 		return nil, err
 	}
-	proxy, err := StartProxy(address, r.plan.ClientFaults, r.plan.Seed+uint64(1000+number))
-	if err != nil {
-		return nil, err
+	var proxy *Proxy
+	if r.plan.ClientFaults != (NetworkFaults{}) {
+		if proxy, err = StartProxy(address, r.plan.ClientFaults, r.plan.Seed+uint64(1000+number)); err != nil {
+			return nil, err
+		}
 	}
 	options := GatewayOptions{
 		Name:            fmt.Sprintf("n%d", number),
@@ -57,7 +60,17 @@
 	if n.process != nil {
 		n.process.Close()
 	}
-	n.proxy.Close()
+	if n.proxy != nil {
+		n.proxy.Close()
+	}
+}
+
+// clientAddress returns the address to which clients connect.
+func (n *gatewayNode) clientAddress() string {
+	if n.proxy != nil {
+		return n.proxy.Address()
+	}
+	return n.options.Listen
 }
 
 // nextProcessNumber increments the process number for the process that is about to start, and returns the number.
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -68,7 +68,7 @@
 	return Result{Plan: plan, History: history, Verdict: Check(history), Partial: interrupted}, nil
 }
 
-// startGateways starts the gateways one after another, each with a proxy in front of it.
+// startGateways starts the gateways one after another.
 func (r *runner) startGateways(ctx context.Context) error {
 	for number := range r.plan.Gateways {
 		n, err := r.newGatewayNode(number)
--- a/internal/lab/soak/standins.go
+++ b/internal/lab/soak/standins.go
@@ -18,11 +18,11 @@
 	hangLead       = 200 * time.Millisecond // time before Stop.At at which backends begin to hang
 )
 
-// standins are the stand-ins of a run: backends and discovery. Gateways reach each of them through a proxy. The
-// zero value has no running stand-ins.
+// standins are the stand-ins of a run: backends and discovery. Gateways reach discovery through a proxy, and the backends if
+// the plan has network faults for them. The zero value has no running stand-ins.
 type standins struct {
 	backends       []*Backend
-	backendProxies []*Proxy                // proxies in front of the backends, by number of the backend
+	backendProxies []*Proxy                // proxies in front of the backends
 	entries        []gateway.EndpointEntry // entries of the backends in discovery's list, by number of the backend
 	discovery      *discovery.Server
 	discoveryProxy *Proxy
@@ -46,21 +46,25 @@
 	return err
 }
 
-// startBackend starts a backend and its proxy, and adds its entry to entries.
+// startBackend starts a backend, and its proxy if there are network faults, and adds its entry to entries.
 func (s *standins) startBackend(number int, plan Plan, clock Clock) error {
 	b, err := StartBackend(fmt.Sprintf("b-%d", number), clock, newBehavior(plan, number))
 	if err != nil {
 		return err
 	}
 	s.backends = append(s.backends, b)
-	proxy, err := StartProxy(b.Address(), plan.BackendFaults, plan.Seed+uint64(number))
-	if err != nil {
-		return err
+	address := b.Address()
+	if plan.BackendFaults != (NetworkFaults{}) {
+		proxy, err := StartProxy(address, plan.BackendFaults, plan.Seed+uint64(number))
+		if err != nil {
+			return err
+		}
+		s.backendProxies = append(s.backendProxies, proxy)
+		address = proxy.Address()
 	}
-	s.backendProxies = append(s.backendProxies, proxy)
 	s.entries = append(s.entries, gateway.EndpointEntry{
 		ID:          b.Name,
-		HostPort:    proxy.Address(),
+		HostPort:    address,
 		Zone:        "a",
 		MachineType: "m",
 		Lifecycle:   "Ready",
--- a/internal/lab/soak/workload.go
+++ b/internal/lab/soak/workload.go
@@ -60,7 +60,7 @@
 		if !inRotation || number == excluded {
 			continue
 		}
-		if conn, err := Dial(r.clock, n.proxy.Address(), number, processNumber); err == nil {
+		if conn, err := Dial(r.clock, n.clientAddress(), number, processNumber); err == nil {
 			conn.proxy = n.proxy
 			return conn
 		}
