Use the kernel's receive times once they have agreed with the process's clock

Such a call returns when its goroutine gets a processor; how long that took was estimated by the longest recent scheduling delay, which misses the first ones after a stall and overstates the others. Change: TCP_INFO tells the time since the last bytes of a connection. Under simulated time or sockets it could mean something else, so it is used only after four comparisons over open requests of 40 ms and more have agreed to 20 ms, and never again after one has not (logged). Until then the estimate stays. In no case do bytes count from before the call that returned them.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -34,7 +34,7 @@
 		if err != nil {
 			return nil, err
 		}
-		earliestArrival := c.acceptReturned()
+		earliestArrival := c.acceptReturned(netConn)
 		conn := c.awaitCapacity(netConn)
 		if conn == nil {
 			c.metrics.add(connectionsOverLimit)
@@ -49,12 +49,12 @@
 
 // acceptReturned records that the listener has returned a connection, and returns the earliest time at which the connection
 // can have arrived.
-func (c *clientConnections) acceptReturned() time.Time {
+func (c *clientConnections) acceptReturned(netConn net.Conn) time.Time {
 	now := time.Now()
 	if !c.acceptDelay.hasBlocked(now) {
 		return c.acceptDelay.acceptReturned(now, 0)
 	}
-	return c.acceptDelay.acceptReturned(now, c.wakeUpDelay(now))
+	return c.acceptDelay.acceptReturned(now, c.wakeUpDelay(netConn, now))
 }
 
 // awaitCapacity adds a connection to the table as soon as there is a free slot. It returns nil if the table is still
--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -53,6 +53,9 @@
 	// set before the connection is served, and then used only by the goroutine that serves the connection.
 	unreadSince time.Time
 
+	// requestAge is the receiveAge at the end of the current request. It has the same owner as unreadSince.
+	requestAge receiveAge
+
 	// request is the open request, which is logged if a graceful shutdown leaves it unanswered; nil if no request is
 	// open.
 	request atomic.Pointer[clientRequest]
@@ -82,6 +85,7 @@
 		return 0, io.EOF // the HTTP server reads the rest of a body before it closes the connection
 	}
 	if c.framer.isComplete() {
+		c.compareKernelClock()
 		c.framer.reset()
 		c.beginUnreadSince()
 		c.pauseBeforeRequest()
@@ -146,6 +150,7 @@
 	if c.framer.isComplete() {
 		c.endBody()
 		c.lookForClose()
+		c.requestAge = c.table.kernelClock.receiveAgeOf(c.Conn)
 	}
 	return nil
 }
--- a/internal/gateway/clientconnections.go
+++ b/internal/gateway/clientconnections.go
@@ -31,6 +31,8 @@
 	delay    *schedulingDelay
 	log      *slog.Logger
 
+	kernelClock kernelClock
+
 	retryAfter  string        // Retry-After of answers to requests that are not read to their end; "": none
 	maxHeadWait time.Duration // longest wait of a request's head for memory
 
--- a/internal/gateway/tcpinfo.go
+++ b/internal/gateway/tcpinfo.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -12,7 +14,9 @@
 
 // States in which the gateway asks for TCP_INFO.
 const (
-	tcpListen tcpState = 10
+	tcpEstablished tcpState = 1
+	tcpCloseWait   tcpState = 8 // the peer has closed its sending side
+	tcpListen      tcpState = 10
 )
 
 // tcpInfo returns the kernel's TCP_INFO of a socket.
@@ -30,3 +34,25 @@
 	}
 	return info, nil
 }
+
+// sinceLastReceived returns the time since the kernel received the last bytes of a connection, to a few milliseconds; 0
+// if the kernel does not tell.
+func sinceLastReceived(conn net.Conn) time.Duration {
+	socketConn, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := socketConn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	info, err := tcpInfo(raw)
+	if err != nil {
+		return 0
+	}
+	switch tcpState(info.State) {
+	case tcpEstablished, tcpCloseWait:
+		return time.Duration(info.Last_data_recv) * time.Millisecond
+	}
+	return 0
+}
--- a/internal/gateway/unread.go
+++ b/internal/gateway/unread.go
@@ -103,7 +103,7 @@
 		return err
 	}
 	now := time.Now()
-	c.unread.arrive(now.Add(-c.table.wakeUpDelay(now)))
+	c.unread.arrive(now.Add(-c.table.wakeUpDelay(c.Conn, now)))
 	if err := c.unread.add(p[:n], c.table.memory); err != nil {
 		return c.flooded(err)
 	}
