Bound a connection's wait for a slot from its arrival, not from its turn

Cause: with a full table each connection was waited for 10 ms, and 0.1 s after each one that had got a slot, while all behind it waited in the accept queue. 300 of them made 2.6 s. Change: a connection waits for a slot until 0.5 s after its arrival, by which an answer may be late. In a crowd all wait at the same time, and when the turn of one comes that has waited for as long, it is added or closed at once. Slots that become free meanwhile go to the queue in order, as before. TestFullTableDoesNotHoldUpAcceptQueue, now with 300 waiting clients in place of 40: 2.56 s before, with 1.7 s allowed; passes. TestTimeInAcceptQueueCountsAgainstDeadline frees the slot at a call of Accept in place of a timer, and asks for a longer wait (0.6 s, before 0.11 s).

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -10,8 +10,9 @@
 // capacityPollInterval is the longest time for which awaitCapacity waits before it checks again for a free slot.
 const capacityPollInterval = 10 * time.Millisecond
 
-// shortFullWait replaces minEvictionGrace as the wait for a slot while the table stays full.
-const shortFullWait = capacityPollInterval
+// maxSlotWait is the longest wait of a connection for a slot, with its wait in the accept queue. An answer may be later than
+// the client's timeout by as much, so that a client whose connection is closed then has not waited for too long.
+const maxSlotWait = 500 * time.Millisecond
 
 // Bounds of the backoff after a failed accept. The backoff doubles with each consecutive failure.
 const (
@@ -35,7 +36,7 @@
 			return nil, err
 		}
 		earliestArrival := c.acceptReturned(netConn)
-		conn := c.awaitCapacity(netConn)
+		conn := c.awaitCapacity(netConn, earliestArrival.Add(maxSlotWait))
 		if conn == nil {
 			c.metrics.add(connectionsOverLimit)
 			netConn.Close()
@@ -58,19 +59,14 @@
 }
 
 // awaitCapacity adds a connection to the table as soon as there is a free slot. It returns nil if the table is still
-// full after minEvictionGrace. By then, a connection that has been idle since the beginning of the wait may be evicted.
-// After a wait without success, the next connections are waited for shortFullWait only, until one gets a slot: in a crowd,
-// connections would otherwise wait in the accept queue until their clients' time is over.
-func (c *clientConnections) awaitCapacity(netConn net.Conn) *clientConn {
+// full at the given time. The connections in the accept queue wait meanwhile. In a crowd they have waited for as long when
+// their turn comes, and do not hold up those behind them until their clients' time is over.
+func (c *clientConnections) awaitCapacity(netConn net.Conn, giveUpAt time.Time) *clientConn {
 	defer c.slotWanted.Store(false)
-	remaining := minEvictionGrace
-	if c.staysFull {
-		remaining = shortFullWait
-	}
-	for ; ; remaining -= capacityPollInterval {
+	for {
 		conn := c.tryAdd(netConn)
+		remaining := time.Until(giveUpAt)
 		if conn != nil || remaining <= 0 {
-			c.staysFull = conn == nil
 			return conn
 		}
 		if !c.slotWanted.Swap(true) {
@@ -78,7 +74,7 @@
 		}
 		select {
 		case <-c.slotFreed:
-		case <-time.After(capacityPollInterval):
+		case <-time.After(min(remaining, capacityPollInterval)):
 		}
 	}
 }
--- a/internal/gateway/acceptdelay_test.go
+++ b/internal/gateway/acceptdelay_test.go
@@ -41,7 +41,7 @@
 func TestTimeInAcceptQueueCountsAgainstDeadline(t *testing.T) {
 	const (
 		clientTimeout = 5 * time.Second
-		queued        = 50 // more connections than Accept refuses before the table has a free slot
+		pause         = 100 * time.Millisecond
 	)
 	config, err := parseConfig([]byte(configText("127.0.0.1:1", testSettings)))
 	if err != nil {
@@ -53,7 +53,8 @@
 		send(t, near, far, requestText("GET", "lookup", "", timeLeftHeader, "5000"))
 		return near
 	}
-	listener := &channelListener{conns: make(chan net.Conn, queued)}
+	listener := &channelListener{conns: make(chan net.Conn, 3)}
+	listener.conns <- arrive()
 	table := newClientConnections(listener, 1)
 	f := newFrontend(&config)
 	table.delay = delayOfIdleProcessor()
@@ -68,33 +69,32 @@
 	timeLeft := func(conn *clientConn) time.Duration {
 		return time.Until(f.requestDeadline(t, conn))
 	}
-	listener.conns <- arrive()
 	first := accept()
 	if left := timeLeft(first); left < 4900*time.Millisecond {
 		t.Errorf("without a wait, %v of %v are left", left, clientTimeout)
 	}
-	// All of these connections wait in the queue from now on. Accept waits minEvictionGrace for a slot for the first of them, and
-	// shortFullWait for each of the next. Which of them gets the slot that remove frees depends on the timers.
-	for range queued {
+	// All of these connections wait in the queue from now on. The first two get no slot. The third gets one after a pause.
+	began := time.Now()
+	for range 3 {
 		listener.conns <- arrive()
 	}
-	began := time.Now()
-	time.AfterFunc(minEvictionGrace+shortFullWait+shortFullWait/2, func() {
-		table.mu.Lock()
-		defer table.mu.Unlock()
-		table.remove(first)
-	})
-	later := accept()
+	calls := 0
+	listener.onAccept = func() {
+		if calls++; calls == 3 {
+			time.Sleep(pause)
+			table.mu.Lock()
+			defer table.mu.Unlock()
+			table.remove(first)
+		}
+	}
+	third := accept()
 	waited := time.Since(began)
-	if left := timeLeft(later); left > clientTimeout-waited+5*time.Millisecond || waited < minEvictionGrace+shortFullWait {
+	if left := timeLeft(third); left > clientTimeout-waited+5*time.Millisecond || waited < pause+maxSlotWait {
 		t.Errorf("after a wait of %v, %v of %v are left", waited, left, clientTimeout)
 	}
-	for len(listener.conns) > 0 {
-		(<-listener.conns).Close()
-	}
 	// The table has a free slot and the accept queue is empty. The next connection arrives while Accept is waiting.
 	table.mu.Lock()
-	table.remove(later)
+	table.remove(third)
 	table.mu.Unlock()
 	next := arrive()
 	listener.onAccept = func() {
--- a/internal/gateway/clientconnections.go
+++ b/internal/gateway/clientconnections.go
@@ -45,7 +45,6 @@
 	// Owned by the goroutine that calls Accept:
 	drainStarted time.Time // time of the first call of acceptQueued; zero: not called yet
 	acceptDelay  acceptDelay
-	staysFull    bool // the last connection got no slot in time
 
 	mu           sync.Mutex
 	conns        map[*clientConn]struct{}
--- a/internal/gateway/clientconnections_test.go
+++ b/internal/gateway/clientconnections_test.go
@@ -285,7 +285,7 @@
 func TestFullTableDoesNotHoldUpAcceptQueue(t *testing.T) {
 	t.Parallel()
 	const (
-		waitingClients = 40
+		waitingClients = 300
 		clientTimeout  = 1200 * time.Millisecond
 		lateLimit      = 500 * time.Millisecond // by which an answer may be later than the client's timeout
 	)
