Wait 0.1 s for a slot again, and not at all once a client's time is over

A trial showed 2,000 to 4,000 connections in the accept queue, most of them reset by clients that don't wait: after the first wait of 0.5 s all of them were over age, and the live ones among them were closed with the others. Only one that has been in the queue for the shortest deadline of a class, 0.5 s at least, is closed at once if there is no slot. That keeps what was for: nobody waits beyond the client's time.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -10,9 +10,12 @@
 // capacityPollInterval is the longest time for which awaitCapacity waits before it checks again for a free slot.
 const capacityPollInterval = 10 * time.Millisecond
 
-// maxSlotWait is the longest wait of a connection for a slot, with its wait in the accept queue. An answer may be later than
-// the client's timeout by as much, so that a client whose connection is closed then has not waited for too long.
-const maxSlotWait = 500 * time.Millisecond
+// shortFullWait replaces minEvictionGrace as the wait for a slot while the table stays full.
+const shortFullWait = capacityPollInterval
+
+// minMaxSlotWait is the lower bound of clientConnections.maxSlotWait. An answer may be later than the client's timeout by as
+// much.
+const minMaxSlotWait = 500 * time.Millisecond
 
 // Bounds of the backoff after a failed accept. The backoff doubles with each consecutive failure.
 const (
@@ -36,7 +39,7 @@
 			return nil, err
 		}
 		earliestArrival := c.acceptReturned(netConn)
-		conn := c.awaitCapacity(netConn, earliestArrival.Add(maxSlotWait))
+		conn := c.awaitCapacity(netConn, earliestArrival)
 		if conn == nil {
 			c.metrics.add(connectionsOverLimit)
 			netConn.Close()
@@ -59,19 +62,23 @@
 }
 
 // awaitCapacity adds a connection to the table as soon as there is a free slot. It returns nil if the table is still
-// full at the given time. The connections in the accept queue wait meanwhile. In a crowd they have waited for as long when
-// their turn comes, and do not hold up those behind them until their clients' time is over.
-func (c *clientConnections) awaitCapacity(netConn net.Conn, giveUpAt time.Time) *clientConn {
+// full after slotWait.
+func (c *clientConnections) awaitCapacity(netConn net.Conn, earliestArrival time.Time) *clientConn {
 	defer c.slotWanted.Store(false)
+	giveUpAt := time.Now().Add(c.slotWait(earliestArrival))
 	for {
 		conn := c.tryAdd(netConn)
-		remaining := time.Until(giveUpAt)
-		if conn != nil || remaining <= 0 {
+		c.staysFull = conn == nil
+		if conn != nil {
 			return conn
 		}
 		if !c.slotWanted.Swap(true) {
 			c.endStalled()
 		}
+		remaining := time.Until(giveUpAt)
+		if remaining <= 0 {
+			return nil
+		}
 		select {
 		case <-c.slotFreed:
 		case <-time.After(min(remaining, capacityPollInterval)):
@@ -79,6 +86,19 @@
 	}
 }
 
+// slotWait returns the longest wait for a slot of a connection that can have arrived at the given time at the earliest. A
+// connection that has been idle since the beginning of minEvictionGrace may be evicted by its end. After a wait without
+// success, the next connections are waited for shortFullWait only, until one gets a slot: those behind them wait as well.
+// In a lasting crowd, connections that have waited for maxSlotWait in the accept queue are not waited for at all: the time
+// of their clients may be over.
+func (c *clientConnections) slotWait(earliestArrival time.Time) time.Duration {
+	wait := minEvictionGrace
+	if c.staysFull {
+		wait = shortFullWait
+	}
+	return min(wait, time.Until(earliestArrival.Add(c.maxSlotWait)))
+}
+
 // acceptWithRetry returns the next connection from the kernel's accept queue. An accept fails if the machine or the
 // process temporarily lacks a resource, or if the connection has already ended in the queue. In both cases the
 // listener still works. Returning the error would end the gateway and lose its open requests. The accept is therefore
--- a/internal/gateway/clientconnections.go
+++ b/internal/gateway/clientconnections.go
@@ -35,6 +35,7 @@
 
 	retryAfter  string        // Retry-After of answers to requests that are not read to their end; "": none
 	maxHeadWait time.Duration // longest wait of a request's head for memory
+	maxSlotWait time.Duration // wait in the accept queue after which there is no further wait
 
 	// slotWanted is set while a new connection waits for a slot of the full table. Connections whose requests have stopped
 	// arriving are then closed.
@@ -45,6 +46,7 @@
 	// Owned by the goroutine that calls Accept:
 	drainStarted time.Time // time of the first call of acceptQueued; zero: not called yet
 	acceptDelay  acceptDelay
+	staysFull    bool // the last connection got no slot in time
 
 	mu           sync.Mutex
 	conns        map[*clientConn]struct{}
@@ -68,6 +70,7 @@
 		memory:      newUnlimitedBudget(requestsKind),
 		delay:       newSchedulingDelay(),
 		log:         slog.Default(),
+		maxSlotWait: minMaxSlotWait,
 		slotFreed:   make(chan struct{}, 1),
 		conns:       map[*clientConn]struct{}{},
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -73,6 +73,7 @@
 	s.clientConnections.log = s.log
 	s.clientConnections.retryAfter = s.frontend.retryAfter()
 	s.clientConnections.maxHeadWait = toDuration(config.shortestDeadline() * maxMemoryWaitShare)
+	s.clientConnections.maxSlotWait = max(minMaxSlotWait, toDuration(config.shortestDeadline()))
 	maxRequestTime := config.longestDeadline() + toDuration(config.AnswerSlack)
 	s.httpServer = s.frontend.newHTTPServer(s.clientConnections, maxRequestTime)
 	s.httpServer.ErrorLog = slog.NewLogLogger(s.log.Handler(), slog.LevelWarn)
