Make no context with a deadline for messages that don't wait for memory

Each attempt, each long request and each long head made a context with its deadline, of which only a reservation that waits has use. memoryBudget.reserve takes the time up to which it waits, and makes a timer when it does wait. No change of behaviour; the tests pass the time in place of a context.

--- a/internal/gateway/backendconn.go
+++ b/internal/gateway/backendconn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -70,11 +69,11 @@
 
 // readResponse reads the complete response to a request that was sent with the given method. It also reports whether
 // the connection may be reused. If the result has memory, the caller must release it. readResponse waits for memory
-// until ctx ends.
-func (c *backendConn) readResponse(ctx context.Context, method string) (result attemptResult, reusable bool) {
-	c.responses.reset(ctx)
+// until wait ends.
+func (c *backendConn) readResponse(wait memoryWait, method string) (result attemptResult, reusable bool) {
+	c.responses.reset(wait)
 	defer func() { c.responses.headMemory.release() }() // does nothing if the result has the memory
-	resp, err := c.readFinalResponse(ctx, &http.Request{Method: method})
+	resp, err := c.readFinalResponse(&http.Request{Method: method})
 	if err != nil {
 		return attemptResult{outcome: readErrorOutcome(err)}, false
 	}
@@ -95,28 +94,28 @@
 }
 
 // readFinalResponse skips interim (1xx) responses and reads the final response and its body.
-func (c *backendConn) readFinalResponse(ctx context.Context, request *http.Request) (receivedResponse, error) {
+func (c *backendConn) readFinalResponse(request *http.Request) (receivedResponse, error) {
 	for range maxInterimResponses {
 		resp, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			return receivedResponse{}, err
 		}
 		if resp.StatusCode/100 != 1 {
-			return c.receiveBody(ctx, resp)
+			return c.receiveBody(resp)
 		}
 	}
 	return receivedResponse{}, errTooManyInterimResponses
 }
 
 // receiveBody reserves memory for a response, and then reads its body.
-func (c *backendConn) receiveBody(ctx context.Context, resp *http.Response) (receivedResponse, error) {
+func (c *backendConn) receiveBody(resp *http.Response) (receivedResponse, error) {
 	switch {
 	case !hasDelimitedBody(resp):
 		return receivedResponse{}, errUndelimitedBody
 	case resp.ContentLength > maxBodyBytes:
 		return receivedResponse{}, errBodyTooLong
 	}
-	memory, err := c.reserveMemory(ctx, resp)
+	memory, err := c.reserveMemory(resp)
 	if err != nil {
 		return receivedResponse{}, err
 	}
@@ -161,7 +160,7 @@
 // reserveMemory reserves the memory that a response needs beyond unreservedResponseBytes. A body without a stated length
 // counts as maxBodyBytes. While reserveMemory waits, the rest of the response stays in the socket. A response whose head
 // holds memory does not wait (see memoryBudget.reserveMore).
-func (c *backendConn) reserveMemory(ctx context.Context, resp *http.Response) (reservation, error) {
+func (c *backendConn) reserveMemory(resp *http.Response) (reservation, error) {
 	bodyBytes := resp.ContentLength
 	if bodyBytes < 0 {
 		bodyBytes = maxBodyBytes
@@ -173,7 +172,8 @@
 	if size <= unreservedResponseBytes {
 		return reservation{}, nil
 	}
-	return c.memory.reserve(ctx, size)
+	wait := c.responses.wait
+	return c.memory.reserve(wait.ctx, wait.until, size)
 }
 
 // noResponseYet reports whether no byte of a response has arrived since the last call of readResponse began. It may
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"amberlb/internal/wire"
 	"amberlb/policy"
@@ -73,7 +74,7 @@
 	}
 	f.Fuzz(func(t *testing.T, text string) {
 		c := newBackendConn(readerConn{reader: strings.NewReader(text)}, nil, newUnlimitedBudget(responsesKind))
-		result, reuse := c.readResponse(t.Context(), http.MethodGet)
+		result, reuse := c.readResponse(memoryWait{t.Context(), time.Now().Add(testTimeout)}, http.MethodGet)
 		if result.outcome == policy.Served && len(result.body) > maxBodyBytes ||
 			result.outcome == policy.ConnectionReset && reuse {
 			t.Errorf("outcome %d, %d bytes, reused %t", result.outcome, len(result.body), reuse)
--- a/internal/gateway/memorybudget.go
+++ b/internal/gateway/memorybudget.go
@@ -56,12 +56,12 @@
 	return newMemoryBudget(kind, math.MaxInt64, slog.Default())
 }
 
-// reserve takes bytes from the budget, and waits for them until ctx ends. If ctx ends first, the error is
+// reserve takes bytes from the budget, and waits for them until ctx ends or the given time. The error is then
 // errMemoryExhausted, which may be wrapped. The caller must release the reservation.
 //
 // The newest call gets free bytes first. While clients that stop in the middle of a message use up the budget, most of
 // the waiting calls are theirs. In the order of the calls, every message would wait behind all of them.
-func (b *memoryBudget) reserve(ctx context.Context, bytes int64) (reservation, error) {
+func (b *memoryBudget) reserve(ctx context.Context, until time.Time, bytes int64) (reservation, error) {
 	b.mu.Lock()
 	if b.take(bytes) {
 		b.mu.Unlock()
@@ -71,15 +71,19 @@
 	b.waiters = append(b.waiters, waiter)
 	b.mu.Unlock()
 	b.warn()
+	timeout := time.NewTimer(time.Until(until))
+	defer timeout.Stop()
 	select {
 	case <-waiter.granted:
 		return reservation{b, bytes}, nil
+	case <-timeout.C:
+		return b.abandon(waiter)
 	case <-ctx.Done():
 		return b.abandon(waiter)
 	}
 }
 
-// abandon ends the wait of a call whose context has ended. It returns the reservation if the bytes have just been taken.
+// abandon ends the wait of a call whose time is over. It returns the reservation if the bytes have just been taken.
 func (b *memoryBudget) abandon(waiter *memoryWaiter) (reservation, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/gateway/memorybudget_test.go
+++ b/internal/gateway/memorybudget_test.go
@@ -22,14 +22,14 @@
 func TestExhaustedMemoryBudgetIsLoggedOnce(t *testing.T) {
 	var text bytes.Buffer
 	budget := newMemoryBudget("requests", 100, slog.New(slog.NewTextHandler(&text, nil)))
-	held, err := budget.reserve(context.Background(), 100)
+	held, err := budget.reserve(context.Background(), time.Now(), 100)
 	if text.Len() > 0 || err != nil {
 		t.Errorf("logged %q, error %v before the budget was exhausted", text.String(), err)
 	}
 	ended, end := context.WithCancel(context.Background())
 	end()
 	for range 2 {
-		if _, err := budget.reserve(ended, 1); !errors.Is(err, errMemoryExhausted) {
+		if _, err := budget.reserve(ended, time.Now().Add(testTimeout), 1); !errors.Is(err, errMemoryExhausted) {
 			t.Errorf("beyond the capacity: error %v, want errMemoryExhausted", err)
 		}
 	}
@@ -47,7 +47,7 @@
 	if held, peak := budget.held.Load(), budget.peak.Load(); held != 0 || peak != 100 {
 		t.Errorf("after the release %d bytes are held, want 0; the peak is %d, want 100", held, peak)
 	}
-	if _, err := budget.reserve(context.Background(), 100); err != nil {
+	if _, err := budget.reserve(context.Background(), time.Now(), 100); err != nil {
 		t.Errorf("after the release: %v", err)
 	}
 }
@@ -98,7 +98,7 @@
 // exhaust takes all memory of a budget.
 func (b *memoryBudget) exhaust(t *testing.T) reservation {
 	t.Helper()
-	held, err := b.reserve(t.Context(), b.capacity)
+	held, err := b.reserve(t.Context(), time.Now(), b.capacity)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -306,7 +306,7 @@
 	call := waitingReserve{make(chan reservation, 1), giveUp}
 	before := b.waiting()
 	go func() {
-		r, err := b.reserve(ctx, bytes)
+		r, err := b.reserve(ctx, time.Now().Add(testTimeout), bytes)
 		if err != nil && !errors.Is(err, errMemoryExhausted) {
 			t.Errorf("reserve of %d bytes: %v", bytes, err)
 		}
--- a/internal/gateway/requestbody.go
+++ b/internal/gateway/requestbody.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -62,9 +61,7 @@
 	if conn := clientConnOf(r); conn != nil {
 		waitUntil = conn.readDeadlineBefore(waitUntil)
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), waitUntil)
-	defer cancel()
-	return f.memory.reserve(ctx, size)
+	return f.memory.reserve(r.Context(), waitUntil, size)
 }
 
 // requestSize returns the number of bytes of a request's target, header and body.
--- a/internal/gateway/requesthead.go
+++ b/internal/gateway/requesthead.go
@@ -38,9 +38,7 @@
 		bytes = c.framer.head.memory()
 	}
 	waitUntil := c.readDeadlineBefore(time.Now().Add(c.table.maxHeadWait))
-	ctx, cancel := context.WithDeadline(context.Background(), waitUntil)
-	defer cancel()
-	memory, err := c.table.memory.reserve(ctx, bytes)
+	memory, err := c.table.memory.reserve(context.Background(), waitUntil, bytes)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/requesthead_test.go
+++ b/internal/gateway/requesthead_test.go
@@ -275,7 +275,7 @@
 		conn := &backendConn{responses: &responseReader{}, memory: newUnlimitedBudget(responsesKind)}
 		conn.responses.limit.R = strings.NewReader(response)
 		conn.reader = bufio.NewReader(conn.responses)
-		return conn.readResponse(t.Context(), http.MethodGet)
+		return conn.readResponse(memoryWait{t.Context(), time.Now().Add(testTimeout)}, http.MethodGet)
 	}
 	allocated := func(response string) uint64 { // bytes for each response
 		var before, after runtime.MemStats
@@ -316,7 +316,7 @@
 	g.expectMemoryReleased(t)
 
 	var budget = newMemoryBudget(responsesKind, 100, g.server.log)
-	head, _ := budget.reserve(t.Context(), 50)
+	head, _ := budget.reserve(t.Context(), time.Now(), 50)
 	if _, err := budget.reserveMore(unreservedPartBytes + 1); !errors.Is(err, errMemoryExhausted) {
 		t.Errorf("more than is free: %v", err)
 	}
--- a/internal/gateway/responsereader.go
+++ b/internal/gateway/responsereader.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"time"
 )
 
 // maxResponseHeadMemory is the memory of the largest head of a response that is read.
@@ -12,22 +13,28 @@
 // errHeadTooLong is returned for a response whose head has more than maxHeadFields or maxHeaderBytes.
 var errHeadTooLong = errors.New("the head of the response is too long")
 
+// memoryWait bounds the wait of a response for memory.
+type memoryWait struct {
+	ctx   context.Context
+	until time.Time // deadline of the attempt
+}
+
 // responseReader reads the bytes of one response at a time from a connection. It counts the fields of the response's head,
 // and takes memory for a long head, before http.ReadResponse parses the head.
 type responseReader struct {
 	limit  io.LimitedReader // reads from the connection and limits the size of a response
 	budget *memoryBudget    // for the memory of responses
 
-	ctx        context.Context // bounds the wait for memory of the current response's head
+	wait       memoryWait // bounds the wait for memory of the current response's head
 	head       headScanner
 	headEnds   bool        // the head of the final response is complete
 	headMemory reservation // for a long head; the caller of takeHeadMemory or reset releases it
 }
 
 // reset begins the next response, and releases the memory of the head of the previous one.
-func (r *responseReader) reset(ctx context.Context) {
+func (r *responseReader) reset(wait memoryWait) {
 	r.limit.N = maxResponseBytes
-	r.ctx = ctx
+	r.wait = wait
 	r.head = headScanner{}
 	r.headEnds = false
 	r.headMemory.release()
@@ -74,7 +81,7 @@
 	if complete && !r.head.isInterimResponse() {
 		bytes = r.head.memory()
 	}
-	memory, err := r.budget.reserve(r.ctx, bytes)
+	memory, err := r.budget.reserve(r.wait.ctx, r.wait.until, bytes)
 	r.headMemory = memory
 	return err
 }
--- a/internal/gateway/roundtrip.go
+++ b/internal/gateway/roundtrip.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -30,9 +29,7 @@
 		return attemptResult{outcome: policy.ConnectFailed}
 	}
 	a.markWritten()
-	ctx, cancel := context.WithDeadline(a.ctx, a.socketDeadline)
-	defer cancel()
-	result, reusable := conn.readResponse(ctx, a.request.method)
+	result, reusable := conn.readResponse(memoryWait{a.ctx, a.socketDeadline}, a.request.method)
 	notCancelled := a.detach()
 	if notCancelled && conn.idleFor > 0 {
 		// A reset before any byte of the response may be due to the connection's long idle time.
--- a/internal/gateway/roundtrip_test.go
+++ b/internal/gateway/roundtrip_test.go
@@ -211,7 +211,7 @@
 			_, reader := backend.acceptRequest(t)
 			c.endAttempt(l, req)
 			answers := len(req.response)
-			memory, err := p.memory.reserve(t.Context(), 4)
+			memory, err := p.memory.reserve(t.Context(), time.Now(), 4)
 			if err != nil {
 				t.Fatal(err)
 			}
