Read the runtime's metrics for the log in one place, and mend three texts

cpuUsage and memoryUsage had the same loop over metrics of the runtime; readRuntimeMetrics serves both, with the same keys. No change of behaviour.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -86,9 +86,10 @@
 	}
 }
 
-// slotWait returns the longest wait for a slot of a connection that can have arrived at the given time at the earliest. A
-// connection that has been idle since the beginning of minEvictionGrace may be evicted by its end. After a wait without
-// success, the next connections are waited for shortFullWait only, until one gets a slot: those behind them wait as well.
+// slotWait returns the longest wait for a slot of a connection that can have arrived at the given time at the earliest.
+// After minEvictionGrace, a connection that has been idle since the beginning of the wait may be evicted. After a wait
+// without success, the next connections are waited for shortFullWait only, until one gets a slot: those behind them wait
+// as well.
 // In a lasting crowd, connections that have waited for maxSlotWait in the accept queue are not waited for at all: the time
 // of their clients may be over.
 func (c *clientConnections) slotWait(earliestArrival time.Time) time.Duration {
--- a/internal/gateway/cpuusage.go
+++ b/internal/gateway/cpuusage.go
@@ -1,13 +1,9 @@
 package gateway
 
-import (
-	"log/slog"
-	runtimemetrics "runtime/metrics"
-)
+import "log/slog"
 
-// runtimeCPUMetrics lists the log key and the name of each metric of the Go runtime that cpuUsage logs. The runtime updates
-// them at each garbage collection.
-var runtimeCPUMetrics = []struct{ key, name string }{
+// runtimeCPUMetrics are the metrics that cpuUsage logs. The runtime updates them at each garbage collection.
+var runtimeCPUMetrics = []runtimeMetric{
 	{"collector", "/cpu/classes/gc/total:cpu-seconds"},
 	{"user", "/cpu/classes/user:cpu-seconds"}, // the program's own code
 }
@@ -16,18 +12,7 @@
 // short, the garbage collector takes up to half of all processor time, and requests are answered late.
 type cpuUsage struct{}
 
-// LogValue reads the current values. Values that the runtime doesn't provide are left out.
+// LogValue reads the current values.
 func (cpuUsage) LogValue() slog.Value {
-	samples := make([]runtimemetrics.Sample, len(runtimeCPUMetrics))
-	for i, m := range runtimeCPUMetrics {
-		samples[i].Name = m.name
-	}
-	runtimemetrics.Read(samples)
-	var attrs []slog.Attr
-	for i, m := range runtimeCPUMetrics {
-		if samples[i].Value.Kind() == runtimemetrics.KindFloat64 {
-			attrs = append(attrs, slog.Float64(m.key, samples[i].Value.Float64()))
-		}
-	}
-	return slog.GroupValue(attrs...)
+	return slog.GroupValue(readRuntimeMetrics(runtimeCPUMetrics)...)
 }
--- a/internal/gateway/memoryusage.go
+++ b/internal/gateway/memoryusage.go
@@ -4,14 +4,13 @@
 	"bufio"
 	"log/slog"
 	"os"
-	runtimemetrics "runtime/metrics"
 	"strconv"
 	"strings"
 )
 
-// runtimeMemoryMetrics lists the log key and the name of each metric of the Go runtime that memoryUsage logs. The
-// runtime's memory limit (debug.SetMemoryLimit) covers mapped less released.
-var runtimeMemoryMetrics = []struct{ key, name string }{
+// runtimeMemoryMetrics are the metrics that memoryUsage logs. The runtime's memory limit (debug.SetMemoryLimit) covers
+// mapped less released.
+var runtimeMemoryMetrics = []runtimeMetric{
 	{"mapped", "/memory/classes/total:bytes"},           // all memory that the runtime has mapped
 	{"released", "/memory/classes/heap/released:bytes"}, // returned to the operating system
 	{"live", "/gc/heap/live:bytes"},                     // objects that the last garbage collection found in use
@@ -32,17 +31,7 @@
 
 // LogValue reads the current values. Values that the system doesn't provide are left out.
 func (memoryUsage) LogValue() slog.Value {
-	samples := make([]runtimemetrics.Sample, len(runtimeMemoryMetrics))
-	for i, m := range runtimeMemoryMetrics {
-		samples[i].Name = m.name
-	}
-	runtimemetrics.Read(samples)
-	var attrs []slog.Attr
-	for i, m := range runtimeMemoryMetrics {
-		if samples[i].Value.Kind() == runtimemetrics.KindUint64 {
-			attrs = append(attrs, slog.Uint64(m.key, samples[i].Value.Uint64()))
-		}
-	}
+	attrs := readRuntimeMetrics(runtimeMemoryMetrics)
 	if resident, ok := residentAnonymousBytes(); ok {
 		attrs = append(attrs, slog.Uint64("resident_anonymous", resident))
 	}
