--- a/review/lab2/backend.go
+++ b/review/lab2/backend.go
@@ -22,6 +22,7 @@
 	body      []byte
 	firstByte time.Time
 	lastByte  time.Time
+	ran       bool // the backend has begun to run the request; set by serve
 }
 
 // answerBody is the body of the answer that a backend makes for a request. It names the request, so that a client can tell
@@ -149,6 +150,7 @@
 // servePlain returns a serve function that answers after the given time.
 func servePlain(work func(x *exchange) time.Duration) func(x *exchange) bool {
 	return func(x *exchange) bool {
+		x.ran = true
 		time.Sleep(work(x))
 		_, err := io.WriteString(x.conn, answerText(x.id))
 		return err == nil
--- a/review/lab2/deployment.go
+++ b/review/lab2/deployment.go
@@ -123,11 +123,24 @@
 func (d *deployment) noteRuns() {
 	for _, b := range d.backends {
 		for _, x := range b.requests() {
-			d.lab.noteAt(x.firstByte, "%s: %s %s, %v left", b.name, x.id, x.path, x.timeLeft)
+			d.lab.noteAt(x.firstByte, "%s: %s %s, %v left, ran: %v", b.name, x.id, x.path, x.timeLeft, x.ran)
 		}
 	}
 }
 
+// runs returns how often the requests of a class have run, by id.
+func (d *deployment) runs(c class) map[string]int {
+	runs := map[string]int{}
+	for _, b := range d.backends {
+		for _, x := range b.requests() {
+			if x.ran && x.path == "/"+c.name {
+				runs[x.id]++
+			}
+		}
+	}
+	return runs
+}
+
 // countStatus returns how many requests got each status.
 func (d *deployment) countStatus() map[int]int {
 	counts := map[int]int{}
--- a/review/lab2/discovery.go
+++ b/review/lab2/discovery.go
@@ -32,6 +32,7 @@
 type discovery struct {
 	address  string
 	listener net.Listener
+	server   *http.Server
 	lab      *lab
 
 	mu      sync.Mutex
@@ -51,17 +52,35 @@
 }
 
 func startDiscovery(l *lab, entries []entry) (*discovery, error) {
+	d := &discovery{
+		lab: l, entries: entries, changed: make([]int64, len(entries)), gone: map[string]change{}, number: 41,
+		news: make(chan struct{}),
+	}
+	return d, d.listen()
+}
+
+// listen makes discovery listen at a new address.
+func (d *discovery) listen() error {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
+		return err
 	}
-	d := &discovery{
-		address: listener.Addr().String(), listener: listener, lab: l, entries: entries, changed: make([]int64, len(entries)),
-		gone: map[string]change{}, number: 41, news: make(chan struct{}),
+	d.address, d.listener = listener.Addr().String(), listener
+	d.server = &http.Server{Handler: http.HandlerFunc(d.handle)}
+	go d.server.Serve(listener)
+	return nil
+}
+
+// move makes discovery listen at a new address. The old one takes no new connection and closes the open ones after 1.5 s.
+func (d *discovery) move() error {
+	oldListener, oldServer := d.listener, d.server
+	if err := d.listen(); err != nil {
+		return err
 	}
-	server := &http.Server{Handler: http.HandlerFunc(d.handle)}
-	go server.Serve(listener)
-	return d, nil
+	oldListener.Close()
+	time.AfterFunc(1500*time.Millisecond, func() { oldServer.Close() })
+	d.lab.note("discovery moves to %s", d.address)
+	return nil
 }
 
 // handle answers a call for the list or a watch.
--- a/review/lab2/latecopy.go
+++ b/review/lab2/latecopy.go
@@ -12,11 +12,15 @@
 const (
 	copyLate     = 12 * time.Millisecond   // time from an answer to its second copy
 	copyShare    = 0.05                    // share of the answers that are followed by a second copy
+	fullShare    = 0.25                    // share of the requests that a backend turns away, as if its queue were full
 	floorDelay   = 2000 * time.Microsecond // one way, between floors
 	copyDuration = 30 * time.Second
 	copyRate     = 400 // requests a second at four gateways
 )
 
+// turnedAway is the answer of a backend to a request that it has not run.
+const turnedAway = "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
+
 func init() { cases["latecopy"] = playLateCopy }
 
 // playLateCopy lets backends send some answers a second time, some milliseconds after the first.
@@ -24,8 +28,12 @@
 	var copies, skipped atomic.Int64
 	work := lognormalWork(15 * time.Millisecond)
 	serve := func(x *exchange) bool {
-		time.Sleep(work(x))
-		text := answerText(x.id)
+		text := turnedAway
+		if rand.Float64() >= fullShare {
+			x.ran = true
+			time.Sleep(work(x))
+			text = answerText(x.id)
+		}
 		if _, err := io.WriteString(x.conn, text); err != nil {
 			return false
 		}
@@ -73,10 +81,17 @@
 			l.noteAt(o.endedAt, "client: %s got %q", o.request.id, o.body)
 		}
 	}
+	twice := 0
+	for id, runs := range d.runs(advanceDraw) {
+		if runs > 1 {
+			twice++
+			l.note("%s, which must not run twice, has run %d times", id, runs)
+		}
+	}
 	l.note("answers by status: %v; second copies: %d, left out since something else waited: %d", d.countStatus(), copies.Load(), skipped.Load())
-	if foreign > 0 {
-		return fmt.Errorf("%w: %d of %d requests were served with the answer made for another request (%d second copies)",
-			errBroken, foreign, len(d.outcomes), copies.Load())
+	if foreign+twice > 0 {
+		return fmt.Errorf("%w: %d of %d requests were served with the answer made for another request, %d that must not run twice did (%d second copies)",
+			errBroken, foreign, len(d.outcomes), twice, copies.Load())
 	}
 	return nil
 }
