--- a/review/lab2/deployment.go
+++ b/review/lab2/deployment.go
@@ -66,7 +66,7 @@
 	for n := range o.gateways {
 		options := gatewayOptions{
 			name: fmt.Sprintf("n%d", n), discovery: d.discovery.address, counter: d.counter.address, memoryMB: o.memoryMB,
-			sockets: 1024, settings: o.settings(n), known: list{Generation: 41, Reset: true, Instances: d.entries},
+			sockets: 1024, settings: o.settings(n), seed: rand.Uint64(), known: list{Generation: 41, Reset: true, Instances: d.entries},
 		}
 		g, err := l.startGateway(options)
 		if err != nil {
--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -108,12 +108,13 @@
 	memoryMB  int
 	sockets   int
 	settings  map[string]any
+	seed      uint64
 }
 
 // configure writes the gateway's configuration file.
 func (g *gateway) configure(o gatewayOptions) error {
 	config := map[string]any{
-		"name": o.name, "listen": g.address, "discovery": o.discovery, "counter": o.counter, "seed": "8c1f30d27a5be964",
+		"name": o.name, "listen": g.address, "discovery": o.discovery, "counter": o.counter, "seed": fmt.Sprintf("%016x", o.seed),
 		"limits":   map[string]any{"cores": 1.0, "memory_mb": o.memoryMB, "sockets": o.sockets},
 		"settings": o.settings,
 	}
