--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 root=$(cd "$folder/../.." && pwd) || exit 2
 [ -x "$root/bin/review2" ] && [ -x "$root/bin/amberlb" ] || exit 2
-exec "$root/bin/review2" -root "$root" -record "$folder/record.txt" -case latecopy
+exec "$root/bin/review2" -root "$root" -record "$folder/record.txt" -case stuck
--- a/review/lab2/backend.go
+++ b/review/lab2/backend.go
@@ -14,7 +14,7 @@
 // exchange is one request that a backend has received whole.
 type exchange struct {
 	backend   *backend
-	conn      *backendConn
+	conn      net.Conn
 	id        string
 	method    string
 	path      string
@@ -43,31 +43,17 @@
 	serve    func(x *exchange) bool
 
 	mu    sync.Mutex
-	conns map[*backendConn]struct{}
+	conns map[net.Conn]struct{}
 	got   []*exchange
 }
 
-// backendConn is a connection to a backend.
-type backendConn struct {
-	net.Conn
-	mu       sync.Mutex
-	received int // requests of which a byte has arrived
-}
-
-// requestsBegun returns the number of requests of which a byte has arrived.
-func (c *backendConn) requestsBegun() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.received
-}
-
 func startBackend(name string, serve func(x *exchange) bool) (*backend, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	b := &backend{
-		name: name, address: listener.Addr().String(), listener: listener, serve: serve, conns: map[*backendConn]struct{}{},
+		name: name, address: listener.Addr().String(), listener: listener, serve: serve, conns: map[net.Conn]struct{}{},
 	}
 	go b.accept()
 	return b, nil
@@ -79,16 +65,15 @@
 		if err != nil {
 			return
 		}
-		c := &backendConn{Conn: conn}
 		b.mu.Lock()
-		b.conns[c] = struct{}{}
+		b.conns[conn] = struct{}{}
 		b.mu.Unlock()
-		go b.handle(c)
+		go b.handle(conn)
 	}
 }
 
 // handle serves the requests of a connection, one at a time.
-func (b *backend) handle(c *backendConn) {
+func (b *backend) handle(c net.Conn) {
 	defer func() {
 		c.Close()
 		b.mu.Lock()
@@ -101,9 +86,6 @@
 			return
 		}
 		x := &exchange{backend: b, conn: c, firstByte: time.Now()}
-		c.mu.Lock()
-		c.received++
-		c.mu.Unlock()
 		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return
@@ -140,7 +122,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for c := range b.conns {
-		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		if tcp, ok := c.(*net.TCPConn); ok {
 			tcp.SetLinger(0)
 		}
 		c.Close()
--- a/review/lab2/deployment.go
+++ b/review/lab2/deployment.go
@@ -28,9 +28,8 @@
 	gateways int
 	backends int
 	serve    func(x *exchange) bool
-	address  func(b *backend) (string, error) // address in discovery's list; nil: the backend's own
-	settings func(rank int) map[string]any    // nil: settings
-	memoryMB int                              // 0: 192
+	settings func(rank int) map[string]any // nil: settings
+	memoryMB int                           // 0: 192
 }
 
 // startDeployment starts a deployment, the gateways last.
@@ -42,11 +41,6 @@
 			return nil, err
 		}
 		e := newEntry(b, n)
-		if o.address != nil {
-			if e.HostPort, err = o.address(b); err != nil {
-				return nil, err
-			}
-		}
 		d.backends = append(d.backends, b)
 		d.entries = append(d.entries, e)
 	}
@@ -128,19 +122,6 @@
 	}
 }
 
-// runs returns how often the requests of a class have run, by id.
-func (d *deployment) runs(c class) map[string]int {
-	runs := map[string]int{}
-	for _, b := range d.backends {
-		for _, x := range b.requests() {
-			if x.ran && x.path == "/"+c.name {
-				runs[x.id]++
-			}
-		}
-	}
-	return runs
-}
-
 // countStatus returns how many requests got each status.
 func (d *deployment) countStatus() map[int]int {
 	counts := map[int]int{}
