--- a/review/lab2/stuck.go
+++ b/review/lab2/stuck.go
@@ -93,11 +93,11 @@
 				d.keep(d.clients[n].do(d.newDraw()))
 			}
 		}
-		stuck := d.countStuck(checkDuration)
+		stuck := d.countStuck(checkDuration, usualTime)
 		l.note("round %d: %d gateways are stuck", round, stuck)
 		if stuck > 0 {
 			worst = stuck
-			l.note("%d of them still refuse all later", d.countStuck(longDuration))
+			l.note("%d of them still refuse all later", d.countStuck(longDuration, usualTime))
 			break
 		}
 	}
@@ -148,10 +148,14 @@
 	return nil
 }
 
+// usualTime returns the time that a usual client waits for an invoice check.
+func usualTime() time.Duration { return invoiceCheck.deadline * 3 / 4 }
+
 // countStuck sends invoice checks to all gateways for a time, and returns the number of those that refused all for too long.
-func (d *deployment) countStuck(duration time.Duration) int {
+// Each check has the time that timeLeft returns.
+func (d *deployment) countStuck(duration time.Duration, timeLeft func() time.Duration) int {
 	stuck := 0
-	for n, rejected := range d.checkInvoices(duration) {
+	for n, rejected := range d.checkInvoices(duration, timeLeft) {
 		d.lab.note("n%d: longest time in which all was refused: %v", n, rejected.Round(time.Millisecond))
 		if rejected >= rejectedAtMost {
 			stuck++
@@ -162,8 +166,8 @@
 
 // checkInvoices sends invoice checks to all gateways, and returns for each the longest time in which it refused all of at
 // least rejectedLeast requests, with no attempt in between.
-func (d *deployment) checkInvoices(duration time.Duration) []time.Duration {
-	time.Sleep(time.Second) // the answers that were held back come
+func (d *deployment) checkInvoices(duration time.Duration, timeLeft func() time.Duration) []time.Duration {
+	time.Sleep(time.Second) // the answers to earlier requests come
 	outcomes := make([][]*outcome, len(d.gateways))
 	var all sync.WaitGroup
 	var customer atomic.Uint64
@@ -174,7 +178,7 @@
 			for begin := time.Now(); time.Since(begin) < duration; time.Sleep(checkInterval) {
 				r := &request{
 					id: newID(), class: invoiceCheck, plan: "business", customer: 20000 + customer.Add(1), units: 1, spread: fleetSize,
-					timeLeft: invoiceCheck.deadline * 3 / 4,
+					timeLeft: timeLeft(),
 				}
 				open.Go(func() {
 					o := d.clients[n].do(r)
