Log the estimates by which requests are rejected

The counts in the log tell the reason of a rejection, but two causes share the reason "too_late": a mean latency that is too high, and a client that is taken for one that retries after its latency objective. The log line of the counts now has the mean latency, the concurrency limit, the attempts in flight, and the number of requests whose objective had presumably passed at their arrival. Decisions are unchanged.

--- a/internal/gateway/eventloop.go
+++ b/internal/gateway/eventloop.go
@@ -20,7 +20,7 @@
 //
 // Its methods and fields belong to the goroutine of run. Before run begins and after run has returned, they belong to
 // the goroutine that starts run. Other goroutines may call post and postEndpointList, read clock and stopped, and use
-// metrics, attempts, openRequests, scheduledTimers, counterCalls and counterCallsUnanswered.
+// metrics, attempts, openRequests, scheduledTimers, estimates, counterCalls and counterCallsUnanswered.
 type eventLoop struct {
 	clock          clock
 	log            *slog.Logger
@@ -37,6 +37,7 @@
 
 	openRequests    atomic.Int64 // number of open requests, for the log
 	scheduledTimers atomic.Int64 // number of timers that are scheduled, for the log
+	estimates       estimateGauges
 
 	counterCalls           atomic.Uint64 // number of counter calls, including calls rejected before they were sent
 	counterCallsUnanswered atomic.Uint64 // number of these calls that count as unanswered (see Hollow.CounterCalls)
@@ -116,6 +117,7 @@
 		l.fireDueTimers()
 		l.openRequests.Store(int64(len(l.requests)))
 		l.scheduledTimers.Store(int64(len(l.timers.entries)))
+		l.estimates.store(l.engine.Estimates())
 		if at, scheduled := l.timers.next(); scheduled {
 			wakeUp.Reset(time.Until(l.clock.toTime(at)))
 		}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -113,7 +113,9 @@
 	}
 }
 
-// logCounts logs the counts since the start, and the memory in use.
+// logCounts logs the counts since the start, the estimates of the policy engine, and the memory in use.
 func (s *server) logCounts() {
-	s.log.Info("counts", append([]any{"since_start", &s.frontend.loop.metrics}, s.memoryDetails()...)...)
+	loop := s.frontend.loop
+	details := []any{"since_start", &loop.metrics, "estimates", &loop.estimates}
+	s.log.Info("counts", append(details, s.memoryDetails()...)...)
 }
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"io"
 	"log/slog"
+	"math"
 	"strings"
 	"testing"
 
@@ -52,3 +54,38 @@
 		check("outcome", int(outcome), outcome.String())
 	}
 }
+
+// The counts in the log come with the estimates by which the engine rejects requests. Without them, the log can't tell
+// why requests were rejected as too late.
+func TestEstimatesAreLoggedWithCounts(t *testing.T) {
+	var gauges estimateGauges
+	gauges.store(policy.Estimates{MeanLatency: 0.25, ConcurrencyLimit: 12.5, InFlight: 3, PresumedLate: 4})
+	var text bytes.Buffer
+	slog.New(slog.NewTextHandler(&text, nil)).Info("counts", "estimates", &gauges)
+	for _, want := range []string{
+		" estimates.mean_latency=0.25",
+		" estimates.concurrency_limit=12.5",
+		" estimates.in_flight=3",
+		" estimates.presumed_late=4",
+	} {
+		if !strings.Contains(text.String(), want) {
+			t.Errorf("%q is not in the log line %q", want, text.String())
+		}
+	}
+}
+
+// The event loop passes the engine's estimates on to the log.
+func TestEstimatesFollowTheEngine(t *testing.T) {
+	t.Parallel()
+	backend := newPeer(t)
+	g := startTestGateway(t, backend)
+	_, answers := g.sendRequest(t, requestText("GET", "lookup", ""))
+	conn, _ := backend.acceptRequest(t)
+	estimates := &g.server.frontend.loop.estimates
+	awaitCondition(t, "the log has no attempt in flight", func() bool { return estimates.inFlight.Load() == 1 })
+	io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	await(t, answers, "the answer")
+	awaitCondition(t, "the log has no end of the attempt", func() bool {
+		return estimates.inFlight.Load() == 0 && math.Float64frombits(estimates.meanLatency.Load()) > 0
+	})
+}
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -58,7 +58,11 @@
 	if class.LateWeightShare != 0 || class.ObjectivePerUnit != 0 {
 		return deadline
 	}
-	return min(deadline, arrival.SentAt+class.LatencyObjective-e.timeSpentBeforeRetry(arrival, class))
+	spent := e.timeSpentBeforeRetry(arrival, class)
+	if spent >= class.LatencyObjective {
+		e.presumedLate++
+	}
+	return min(deadline, arrival.SentAt+class.LatencyObjective-spent)
 }
 
 // timingMargin returns the number of seconds before a deadline at which an answer is due: an event may come
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -18,6 +18,7 @@
 	latency        latencyStats
 	retries        retryBudget
 	clientTimeouts []clientTimeout // index: class * number of plans + plan
+	presumedLate   uint64          // see Estimates
 	backends       backendSet
 	warmTraffic    warmTraffic
 	customers      customerSet
