Demote requests that are presumed late in place of rejecting them

Cause: the engine takes a request whose timeout differs from the usual one of its class and plan for a client's retry, and the difference between the class's deadline and the timeout for time that has been spent (timeSpentBeforeRetry). answerBy subtracted that from the end of the latency objective, and requestArrived rejected what was over.

Change: the presumption no longer decides when a request is answered, only its place. A request that is presumed late, or would become late in the queue, gets the lowest level, and no units while its customer is short of them (at most shortageMemory after the last request that lacked them). While there is capacity it is sent, with the whole time of its client. The share of retries that a gateway spends capacity and units on under load stays as small as before, since others go first. Also gone: attempts cut short by the presumption, whose time-outs counted against backends and the concurrency limit.

--- a/policy/admission.go
+++ b/policy/admission.go
@@ -40,6 +40,7 @@
 		level:    e.queue.levelOf(class, &e.settings.Plans[arrival.Plan]),
 		answerBy: e.answerBy(arrival, class),
 	}
+	e.presumeUsefulTime(req)
 	e.retries.recordArrival(arrival.IsRetry)
 	e.requests[arrival.ID] = req
 	e.queue.arrivalCounts[req.level]++
@@ -49,20 +50,14 @@
 }
 
 // answerBy returns the clock time by which an arriving request is to be answered. This is timingMargin before
-// the client's deadline, or the end of the latency objective if that end comes first, since answers after it
-// earn nothing. No margin is subtracted from the end of the objective, but the time that
-// timeSpentBeforeRetry returns is. The objective does not count for two kinds of class: classes whose late
-// answers earn a share of the weight, and classes whose objective grows with the request's work.
+// the client's deadline, or the end of the latency objective if that end comes first and answers after it
+// earn nothing. No margin is subtracted from the end of the objective.
 func (e *Engine) answerBy(arrival Request, class *Class) float64 {
 	deadline := arrival.Deadline - e.timingMargin()
-	if class.LateWeightShare != 0 || class.ObjectivePerUnit != 0 {
+	if !class.lateAnswersEarnNothing() {
 		return deadline
 	}
-	spent := e.timeSpentBeforeRetry(arrival, class)
-	if spent >= class.LatencyObjective {
-		e.presumedLate++
-	}
-	return min(deadline, arrival.SentAt+class.LatencyObjective-spent)
+	return min(deadline, arrival.SentAt+class.LatencyObjective)
 }
 
 // timingMargin returns the number of seconds before a deadline at which an answer is due: an event may come
--- /dev/null
+++ b/policy/clientretry_test.go
@@ -0,0 +1,168 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"testing"
+)
+
+// The timeouts, in seconds, of clients in these tests. The deadline of class 0 of testSettings is 2 s, and its latency
+// objective 0.8 s.
+const (
+	usualTimeout     = 1.4
+	presumedLateLeft = 0.9 // left to a client that has presumably spent 1.1 s on earlier requests
+)
+
+// retryDriver sends requests of class 0 to an engine whose backends serve each attempt after 0.1 s.
+type retryDriver struct {
+	*engineDriver
+	customer CustomerID
+}
+
+// startRetryDriver starts an engine with enough backends and units for all requests.
+func startRetryDriver(t *testing.T, set Settings) *retryDriver {
+	t.Helper()
+	set.Plans[1].Rate, set.Plans[1].Burst = 1000, 2000
+	return &retryDriver{engineDriver: startEngine(t, set, readyBackends(4)...), customer: 5}
+}
+
+// arrive passes a request with a timeout to the engine, grants its counter calls and returns all actions.
+func (d *retryDriver) arrive(timeout float64, marked bool) (RequestID, []Action) {
+	d.nextID++
+	out := d.handle(Request{ID: d.nextID, Plan: 1, Units: 1, Gateways: 2, Customer: d.customer,
+		Deadline: d.now + timeout, IsRetry: marked})
+	return d.nextID, append(out, d.grantCounterCalls(out)...)
+}
+
+// serve sends a request, serves its attempt and reports whether there was one.
+func (d *retryDriver) serve(timeout float64, marked bool) bool {
+	_, out := d.arrive(timeout, marked)
+	attempts := actionsOf[SendAttempt](out)
+	d.now += 0.1
+	for _, s := range attempts {
+		d.handle(AttemptEnded{Request: s.Request, Backend: s.Backend, Outcome: Served, Latency: 0.1})
+	}
+	d.now += 0.1
+	return len(attempts) == 1
+}
+
+// learnTimeout serves requests until the engine knows the usual timeout.
+func (d *retryDriver) learnTimeout(usual float64) {
+	d.t.Helper()
+	for range 20 {
+		if !d.serve(usual, false) {
+			d.t.Fatal("a request with the usual timeout was not sent")
+		}
+	}
+}
+
+// Guards against a gateway that rejects all requests of a class untried, with all backends idle: clients that each wait
+// a time of their own were taken for clients that retry after their objective.
+func TestClientsWithOwnTimeoutsAreServed(t *testing.T) {
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 37))
+		d := startRetryDriver(t, testSettings())
+		d.learnTimeout(usualTimeout)
+		for i := range 150 {
+			if timeout := 1 + 0.4*rng.Float64(); !d.serve(timeout, false) {
+				t.Fatalf("seed %d: request %d, whose client waits %.3f s, was rejected untried", seed, i, timeout)
+			}
+		}
+	}
+}
+
+// A retry whose objective had presumably passed when its client sent it would earn nothing. It yields to all others: it
+// is served where nobody else needs the capacity, behind all others where somebody does, and not at all where its wait
+// in the queue would be too long. Requests that are not retries keep their level.
+func TestRetryPresumedLateYieldsCapacity(t *testing.T) {
+	d := startRetryDriver(t, testSettings())
+	level := func(id RequestID) int { return d.engine.requests[id].level }
+
+	id, out := d.arrive(presumedLateLeft, false)
+	if onlyAction[SendAttempt](t, out); level(id) == 0 {
+		t.Error("a request was demoted although the usual timeout of clients is unknown")
+	}
+	d.learnTimeout(usualTimeout)
+	id, out = d.arrive(usualTimeout, false)
+	if onlyAction[SendAttempt](t, out); level(id) == 0 {
+		t.Error("a request that is not a retry was demoted")
+	}
+	id, out = d.arrive(presumedLateLeft, false)
+	if s := onlyAction[SendAttempt](t, out); level(id) != 0 || s.Timeout < 0.79 {
+		t.Errorf("a retry past its objective has level %d and %.2f s for its attempt, want the lowest and all of the objective",
+			level(id), s.Timeout)
+	}
+	d.arrive(usualTimeout, false)
+
+	d.engine.latency.mean, d.engine.limiter.limit, d.engine.limiter.inFlight = 0.1, 2, limitBurst // at the limit
+	late, out := d.arrive(presumedLateLeft, false)
+	if n := len(actionsOf[SendAttempt](out)) + len(actionsOf[Reject](out)); n != 0 {
+		t.Fatalf("a retry past its objective does not wait at the limit: %v", out)
+	}
+	first, _ := d.arrive(usualTimeout, false)
+	d.engine.limiter.inFlight = 0
+	sent := actionsOf[SendAttempt](d.handle(timerFired(maintenanceTimer, 0)))
+	if len(sent) != 2 || sent[0].Request != first || sent[1].Request != late {
+		t.Errorf("sent %v, want %d, which came later, before %d", sent, first, late)
+	}
+	d.engine.limiter.inFlight = limitBurst
+	d.engine.limiter.limit = 0.1 // attempts 1 s apart
+	_, out = d.arrive(presumedLateLeft, false)
+	onlyAction[Reject](t, out)
+}
+
+// A retry whose objective presumably passes while it waits in the queue yields to others as well.
+func TestRetryThatWouldBecomeLateYields(t *testing.T) {
+	d := startRetryDriver(t, testSettings())
+	d.learnTimeout(1.9)
+	d.engine.latency.mean, d.engine.limiter.inFlight = 0.1, limitBurst // at the limit
+	for _, c := range []struct {
+		limit float64 // attempts; a wait of 0.1 s divided by the limit is expected
+		left  float64 // seconds until the client's deadline, of 2 s
+		level bool    // the request keeps its level
+	}{
+		{limit: 2, left: 1.5, level: true}, // 0.3 s of the objective are presumably left
+		{limit: 0.4, left: 1.45, level: false},
+		{limit: 0.4, left: 1.9, level: true}, // not a retry
+	} {
+		d.engine.limiter.limit = c.limit
+		d.engine.limiter.meanInFlight = c.limit
+		id, _ := d.arrive(c.left, false)
+		req := d.engine.requests[id]
+		if req == nil {
+			t.Errorf("%+v: rejected", c)
+			continue
+		}
+		if (req.level != 0) != c.level {
+			t.Errorf("%+v: level %d", c, req.level)
+		}
+		d.handle(ClientDisconnected{Request: id})
+		d.engine.queue.requests[req.level] = nil
+	}
+}
+
+// A retry that is presumed late gets no units while its customer is short of them, so that they are left for requests
+// that earn something. The shortage is over shortageMemory after the last request that lacked units.
+func TestRetryPresumedLateYieldsUnits(t *testing.T) {
+	set := testSettings()
+	set.HasCounter = false // local tokens alone
+	d := startRetryDriver(t, set)
+	d.learnTimeout(usualTimeout)
+	customer := d.engine.customers.byID[d.customer]
+	setTokens := func(tokens float64) {
+		customer.localTokens.tokens, customer.localTokens.updatedAt = tokens, d.now
+		customer.lease = lease{}
+	}
+	setTokens(0)
+	_, out := d.arrive(usualTimeout, false)
+	onlyAction[Reject](t, out)
+	setTokens(5)
+	_, out = d.arrive(presumedLateLeft, false)
+	if r := onlyAction[Reject](t, out); r.Reason != ReasonQuota {
+		t.Errorf("a retry past its objective was rejected for %v, want the quota", r.Reason)
+	}
+	_, out = d.arrive(usualTimeout, false)
+	onlyAction[SendAttempt](t, out)
+	d.now += shortageMemory
+	_, out = d.arrive(presumedLateLeft, false)
+	onlyAction[SendAttempt](t, out)
+}
--- a/policy/clienttimeout.go
+++ b/policy/clienttimeout.go
@@ -29,9 +29,7 @@
 // timeout, the client has probably shortened the timeout to the time left of the class's deadline. The
 // request therefore counts as a retry.
 //
-// A retry whose latency objective has passed earns nothing, but uses units, a counter call and backend time
-// that other requests could use. A request that is not a retry must not be mistaken for a retry, so the
-// result is 0 as long as the usual timeout is unknown.
+// The result is 0 as long as the usual timeout is unknown.
 func (e *Engine) timeSpentBeforeRetry(r Request, class *Class) float64 {
 	timeout := r.Deadline - r.SentAt
 	tolerance := e.timingMargin()
--- a/policy/customer.go
+++ b/policy/customer.go
@@ -22,6 +22,7 @@
 
 	totalSeen       bool    // a total from the counter has been applied under upfront leasing
 	exhaustedUntil  float64 // clock time until which the shared bucket is expected to have too few units
+	shortUntil      float64 // clock time until which the customer counts as short of units
 	unreportedUnits float64 // spent units that the next call reports; below 0: units that it returns
 	window          counterWindow
 	sharedBucket    sharedBucketView
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -61,23 +61,30 @@
 }
 
 // enqueue adds an admitted request to the queue of its level, or rejects the request if it would wait there
-// for too long.
+// for too long. A request that would wait for longer than its answer is presumably useful gets the lowest
+// level, so that it does not hold up others.
 func (e *Engine) enqueue(req *request) {
-	if e.atLimit(req.level) && e.wouldWaitTooLong(req) {
-		e.rejectOrFail(req, ReasonQueue)
-		return
+	if e.atLimit(req.level) {
+		if req.usefulUntil < req.answerBy && e.wouldWaitTooLong(req, req.usefulUntil) {
+			req.level = 0
+		}
+		if e.wouldWaitTooLong(req, req.answerBy) {
+			e.rejectOrFail(req, ReasonQueue)
+			return
+		}
 	}
 	e.queue.requests[req.level] = append(e.queue.requests[req.level], req)
 }
 
 // wouldWaitTooLong reports whether the expected wait in the queue exceeds the time until the request must be
-// sent. A request waits for the queued requests of its level and of higher levels, and for requests of higher
-// levels that arrive during the wait. The expected wait in seconds is
+// sent for an answer by the clock time answerBy. A request waits for the queued requests of its level and of
+// higher levels, and for requests of higher levels that arrive during the wait. The expected wait in seconds
+// is
 // ahead*secondsPerAttempt / (1 - secondsPerAttempt*higherRate), in which:
 //   - ahead is the number of queued requests that the request waits for, plus 1 for the request itself,
 //   - secondsPerAttempt is the average time between two attempts that the concurrency limit allows, and
 //   - higherRate is the number of requests per second that arrive at higher levels.
-func (e *Engine) wouldWaitTooLong(req *request) bool {
+func (e *Engine) wouldWaitTooLong(req *request, answerBy float64) bool {
 	secondsPerAttempt := e.latency.mean / max(e.limiter.limit, minLimitForWait)
 	ahead := 1 + float64(len(e.queue.requests[req.level]))
 	higherRate := 0.0
@@ -85,7 +92,7 @@
 		ahead += float64(len(e.queue.requests[level]))
 		higherRate += e.queue.arrivalRates[level]
 	}
-	remaining := req.answerBy - e.now - e.latency.mean
+	remaining := answerBy - e.now - e.latency.mean
 	return ahead*secondsPerAttempt >= remaining*max(1-secondsPerAttempt*higherRate, 0)
 }
 
--- a/policy/quotaadmission.go
+++ b/policy/quotaadmission.go
@@ -49,15 +49,22 @@
 }
 
 // decideAdmission decides on the first waiting request. If it returns admitNow, it has spent the request's
-// units.
+// units. A request that is presumed late gets no units while other requests of its customer lack them.
 func (e *Engine) decideAdmission(c *customer, req *request) admissionDecision {
 	if c.quota.concurrencyLimit > 0 && c.openAttempts >= c.quota.localConcurrency {
 		return c.decideAtConcurrencyLimit()
 	}
-	if c.quota.rate > 0 {
-		return e.decideByUnits(c, req)
+	if c.quota.rate <= 0 {
+		return admitNow
+	}
+	if req.presumedLate && c.shortOfUnits(e.now) {
+		return rejectForQuota
+	}
+	decision := e.decideByUnits(c, req)
+	if decision == rejectForQuota {
+		c.recordShortage(e.now)
 	}
-	return admitNow
+	return decision
 }
 
 // decideAtConcurrencyLimit decides on a request that would exceed localConcurrency, this gateway's part of
--- a/policy/request.go
+++ b/policy/request.go
@@ -7,6 +7,8 @@
 	customer         *customer
 	level            int     // level in priorityQueue; 0: over quota
 	answerBy         float64 // clock time by which the request is to be answered; a later answer earns nothing
+	usefulUntil      float64 // clock time after which an answer presumably earns nothing; at most answerBy
+	presumedLate     bool    // usefulUntil was over at the arrival
 	admitted         bool    // the request has passed the customer's quota and concurrency limit
 	finished         bool    // the request has its final answer, or no longer needs an answer
 	streaming        bool    // a backend has begun to stream its response to the client
