Let the clients' marks on retries go before the inference from timeouts

Cause: whether a request is a client's retry was inferred from its timeout alone. The settings say whether clients mark their retries (clients.marksRetry), and PROTOCOL has X-Repeat for it, but neither the settings' key was read nor the mark asked.

Change: the key is read as Settings.ClientsMarkRetries. Where it is set, only marked requests count as retries, and only unmarked ones show the usual timeout of clients.

TestMarkGoesBeforeInferenceFromTimeout failed before: "an unmarked request whose client waits 1.0 s was demoted" (1.1 and 1.2 s too), and a marked retry was no longer recognized once two of them had had the same timeout. It passes now.

--- a/cmd/simadapter/simclients_test.go
+++ b/cmd/simadapter/simclients_test.go
@@ -109,7 +109,7 @@
 		req.deadline = s.now + (giveUpAt-s.now)*s.Float64()
 	}
 	s.requests[req.id] = req
-	inst.events.request(req, isRetry)
+	inst.events.request(req, isRetry && s.settings.Clients.MarkRetries)
 	s.expectFinalAnswer(req)
 	if s.chance(0.1) {
 		s.after((req.deadline-s.now)*s.Float64(), func() { s.disconnect(req) })
@@ -124,8 +124,8 @@
 	return offset < c.gatewayCount || s.chance(0.05)
 }
 
-// request writes the record that a request has arrived.
-func (w *recordWriter) request(req *simRequest, isRetry bool) {
+// request writes the record that a request has arrived. marked says whether its client has marked it as a retry.
+func (w *recordWriter) request(req *simRequest, marked bool) {
 	w.begin(eventRequest)
 	w.u32(req.id)
 	w.f32(float64(req.customer.firstGateway))
@@ -133,7 +133,7 @@
 	w.u64(req.customer.id)
 	w.f32(float64(req.customer.gatewayCount))
 	w.f32(req.units)
-	w.flag(isRetry, flagRetry)
+	w.flag(marked, flagRetry)
 	w.u16(req.classIndex)
 	w.f64(req.deadline)
 }
--- a/cmd/simadapter/streamsettings_test.go
+++ b/cmd/simadapter/streamsettings_test.go
@@ -10,6 +10,7 @@
 	Capabilities simCapabilities    `json:"allowed"`
 	Classes      []simClass         `json:"classes"`
 	Plans        []simPlan          `json:"packages"`
+	Clients      simClients         `json:"clients"`
 	Discovery    string             `json:"discovery"`
 	QuotaCounter simQuotaCounter    `json:"familyInfo"`
 	FleetSize    int                `json:"fleetSize"`
@@ -36,6 +37,11 @@
 	CanSendRetryAfter bool    `json:"retryAfter"`
 }
 
+// simClients states how clients behave.
+type simClients struct {
+	MarkRetries bool `json:"marksRetry"`
+}
+
 // simClass holds the settings of a class of requests.
 type simClass struct {
 	ObjectivePerUnitS float64 `json:"aimStretch,omitempty"`
@@ -104,12 +110,13 @@
 // oneOf draws one of the values with equal probability.
 func oneOf[T any](d randomSource, values ...T) T { return values[d.IntN(len(values))] }
 
-// settings draws the settings of a deployment. The fleet size and the presence of a counter depend on the seed only,
-// so that a few consecutive seeds cover all values.
+// settings draws the settings of a deployment. The fleet size, the presence of a counter and whether clients mark
+// retries depend on the seed only, so that a few consecutive seeds cover all values.
 func (d randomSource) settings(seed uint64) simSettings {
 	s := simSettings{
 		FleetSize:    []int{3, 60, 1, 8, 5}[seed%5],
 		TickS:        oneOf(d, 0.004, 0.02, 0.04),
+		Clients:      simClients{MarkRetries: seed%2 == 0},
 		Discovery:    oneOf(d, "push", "ask"),
 		Weights:      oneOf(d, "off", "nominal", "rough", "live"),
 		Kinds:        []string{"small", "wide"},
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -70,6 +70,9 @@
 		Streamed          bool    `json:"streamed"`
 		DedupeWindowS     float64 `json:"windowS"`
 	} `json:"classes"`
+	Clients struct {
+		MarkRetries bool `json:"marksRetry"`
+	} `json:"clients"`
 	Discovery    string `json:"discovery"`
 	QuotaCounter struct {
 		CounterPrice    float64 `json:"counterPrice"`
--- a/internal/wire/settingsmap.go
+++ b/internal/wire/settingsmap.go
@@ -46,6 +46,7 @@
 		FleetSize:          j.FleetSize,
 		Zone:               j.Zone,
 		Tick:               j.TickS,
+		ClientsMarkRetries: j.Clients.MarkRetries,
 		PollDiscovery:      j.Discovery == discoveryByPolling,
 		ApproximateWeights: j.Weights == weightsRough || j.Weights == weightsNominal,
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -161,7 +161,7 @@
 }
 
 func TestSettingsAreTranslated(t *testing.T) {
-	s, err := ParseSettings([]byte(`{"unknownKey": 1, "discovery": "ask",
+	s, err := ParseSettings([]byte(`{"unknownKey": 1, "discovery": "ask", "clients": {"marksRetry": true},
 		"classes": [{"objectiveS": 0.8, "deadlineS": 2, "points": 3, "effect": "by_key", "keyScope": "cell", "windowS": 5}],
 		"packages": [{"pays": 0.5, "unitsPerS": 2, "depth": 4, "atOnce": 3, "neverOverRate": 9}],
 		"loadReport": {"fields": ["x9", "pending"], "how": "inline"}, "allowed": {"mostTries": 4}}`))
@@ -176,10 +176,14 @@
 	if p.WeightFactor != 0.5 || p.Rate != 2 || p.Burst != 4 || p.MaxConcurrent != 3 || p.CeilingRate != 9 {
 		t.Errorf("plan %+v", p)
 	}
-	if !s.PollDiscovery || !s.LoadInline || s.MaxAttempts != 4 || s.LoadFields[0] != policy.LoadOther ||
+	if !s.PollDiscovery || !s.ClientsMarkRetries || !s.LoadInline || s.MaxAttempts != 4 || s.LoadFields[0] != policy.LoadOther ||
 		s.LoadFields[1] != policy.LoadQueued {
 		t.Errorf("settings %+v", s)
 	}
+	s, err = ParseSettings([]byte(`{"classes": [{}], "packages": [{}], "clients": {"marksRetry": false}}`))
+	if err != nil || s.ClientsMarkRetries {
+		t.Errorf("clients that don't mark retries: error %v, settings %+v", err, s)
+	}
 	var unknown *UnknownNameError
 	if _, err := ParseSettings([]byte(`{"classes": [{"effect": "thrice"}], "packages": [{}]}`)); !errors.As(err, &unknown) {
 		t.Errorf("unknown effect: error %v, want an UnknownNameError", err)
--- a/policy/clientretry_test.go
+++ b/policy/clientretry_test.go
@@ -166,3 +166,27 @@
 	_, out = d.arrive(presumedLateLeft, false)
 	onlyAction[SendAttempt](t, out)
 }
+
+// Guards against taking requests for retries by their timeout although their clients mark retries: only marked ones are
+// retries, and the timeouts of marked ones don't tell what is usual.
+func TestMarkGoesBeforeInferenceFromTimeout(t *testing.T) {
+	set := testSettings()
+	set.ClientsMarkRetries = true
+	d := startRetryDriver(t, set)
+	d.learnTimeout(usualTimeout)
+	for _, timeout := range []float64{1, 1.1, 1.2, 1.3, usualTimeout} {
+		id, _ := d.arrive(timeout, false)
+		if d.engine.requests[id].level == 0 {
+			t.Errorf("an unmarked request whose client waits %.1f s was demoted", timeout)
+		}
+	}
+	d.learnTimeout(usualTimeout)
+	for range 40 {
+		if id, _ := d.arrive(presumedLateLeft, true); d.engine.requests[id].level != 0 {
+			t.Fatal("a marked retry past its objective was not demoted")
+		}
+	}
+	if id, _ := d.arrive(usualTimeout, true); d.engine.requests[id].level == 0 {
+		t.Error("a marked retry with the usual timeout was demoted")
+	}
+}
--- a/policy/clienttimeout.go
+++ b/policy/clienttimeout.go
@@ -22,20 +22,24 @@
 	return c.usual == 0 || math.Abs(timeout-c.usual) < tolerance
 }
 
-// timeSpentBeforeRetry returns the number of seconds that the client of a retry has spent before it sent the
-// retry, at this or another gateway. It returns 0 for a request that it does not recognize as a retry.
+// timeSpentBeforeRetry returns the number of seconds that the client of a retry has presumably spent before
+// it sent the retry, at this or another gateway. It returns 0 for a request that it does not recognize as a
+// retry.
 //
-// Most requests of a class and plan have the same timeout. If the timeout of a request differs from the usual
-// timeout, the client has probably shortened the timeout to the time left of the class's deadline. The
-// request therefore counts as a retry.
-//
-// The result is 0 as long as the usual timeout is unknown.
+// Most requests of a class and plan have the same timeout. If the timeout of a retry differs from the usual
+// timeout, the client has probably shortened the timeout to the time left of the class's deadline. Where
+// clients don't mark retries, any request with such a timeout counts as a retry. The result is 0 as long as
+// the usual timeout is unknown.
 func (e *Engine) timeSpentBeforeRetry(r Request, class *Class) float64 {
 	timeout := r.Deadline - r.SentAt
 	tolerance := e.timingMargin()
 	observed := &e.clientTimeouts[r.Class*len(e.settings.Plans)+r.Plan]
-	observed.observe(timeout, tolerance)
-	if observed.isUsual(timeout, tolerance) {
+	mayBeFirst := !e.settings.ClientsMarkRetries || !r.IsRetry
+	mayBeRetry := !e.settings.ClientsMarkRetries || r.IsRetry
+	if mayBeFirst {
+		observed.observe(timeout, tolerance)
+	}
+	if !mayBeRetry || observed.isUsual(timeout, tolerance) {
 		return 0
 	}
 	return max(class.Deadline-timeout, 0)
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -100,6 +100,7 @@
 	Zone         int     // index of this gateway's zone; see Backend
 	Tick         float64 // resolution of the clock in seconds; an event may come one tick late
 
+	ClientsMarkRetries bool        // clients set Request.IsRetry on each of their retries
 	PollDiscovery      bool        // discovery reports changes of the endpoint list only when polled
 	ApproximateWeights bool        // Backend.Weight is a rough measure of size; else it has no meaning
 	LoadFields         []LoadField // kinds of the values in a load report, in order
