Take the timeout of most recent requests for the usual one of clients

Cause: two equal timeouts in a row made the usual timeout, which then stayed until two others in a row were equal. Two retries alike, or two first requests, decided over all others, and while all timeouts differed nothing corrected it. A timeout longer than the usual one counted as a retry's as well, though a retry has less time than usual, never more.

Change: the usual timeout is that of a majority vote over the recent requests of the class and plan. It is known from a support of 4 on, and the support is at most 16, so an outdated one is given up after 13 requests that differ. Each request takes part as it arrives, whatever becomes of it. Only a shorter timeout counts as a retry's.

TestUsualTimeoutIsThatOfMostRequests failed before in four parts: among others, two retries alike became usual, and a request whose client waits longer than usual was demoted. It passes now.

--- a/policy/clientretry_test.go
+++ b/policy/clientretry_test.go
@@ -162,7 +162,12 @@
 	}
 	_, out = d.arrive(usualTimeout, false)
 	onlyAction[SendAttempt](t, out)
-	d.now += shortageMemory
+	for range 3 { // their own rejections don't prolong the shortage
+		d.now += shortageMemory / 4
+		_, out = d.arrive(presumedLateLeft, false)
+		onlyAction[Reject](t, out)
+	}
+	d.now += shortageMemory / 4
 	_, out = d.arrive(presumedLateLeft, false)
 	onlyAction[SendAttempt](t, out)
 }
@@ -190,3 +195,71 @@
 		t.Error("a marked retry with the usual timeout was demoted")
 	}
 }
+
+// Guards against a usual timeout that stays for good, or is that of a few requests: it is the timeout of most recent
+// requests, and nothing is presumed while there is no such timeout.
+func TestUsualTimeoutIsThatOfMostRequests(t *testing.T) {
+	demoted := func(d *retryDriver, timeout float64) bool {
+		before := d.engine.Estimates().PresumedLate
+		if !d.serve(timeout, false) {
+			t.Errorf("a request whose client waits %.2f s was not sent", timeout)
+		}
+		return d.engine.Estimates().PresumedLate > before
+	}
+	t.Run("first requests differ", func(t *testing.T) {
+		d := startRetryDriver(t, testSettings())
+		for _, timeout := range []float64{1.9, 1.9, 1.05, 1.05} {
+			if demoted(d, timeout) {
+				t.Errorf("a request of %.2f s among the first ones was demoted", timeout)
+			}
+		}
+	})
+	t.Run("two equal requests", func(t *testing.T) {
+		d := startRetryDriver(t, testSettings())
+		d.learnTimeout(usualTimeout)
+		for range 2 {
+			if !demoted(d, presumedLateLeft) {
+				t.Error("a retry past its objective was not demoted")
+			}
+		}
+		if demoted(d, usualTimeout) {
+			t.Error("a request that is not a retry was demoted after two equal retries")
+		}
+	})
+	t.Run("longer than usual", func(t *testing.T) {
+		d := startRetryDriver(t, testSettings())
+		d.learnTimeout(1)
+		if demoted(d, 1.1) {
+			t.Error("a request whose client waits longer than usual was demoted")
+		}
+	})
+	t.Run("all different", func(t *testing.T) {
+		d := startRetryDriver(t, testSettings())
+		d.learnTimeout(usualTimeout)
+		demotions := 0
+		for i := range 100 {
+			if demoted(d, 1.39-0.0039*float64(i)) {
+				demotions++
+			}
+		}
+		if demotions >= maxTimeoutSupport {
+			t.Errorf("%d of 100 requests of different timeouts were demoted, want fewer than %d", demotions, maxTimeoutSupport)
+		}
+	})
+	t.Run("another usual timeout", func(t *testing.T) {
+		d := startRetryDriver(t, testSettings())
+		d.learnTimeout(usualTimeout)
+		demotions := 0
+		for range 100 {
+			if demoted(d, 1.1) {
+				demotions++
+			}
+		}
+		if demotions >= maxTimeoutSupport {
+			t.Errorf("%d of 100 requests of a new usual timeout were demoted, want fewer than %d", demotions, maxTimeoutSupport)
+		}
+		if !demoted(d, presumedLateLeft) {
+			t.Error("a retry past its objective was not demoted after the usual timeout had changed")
+		}
+	})
+}
--- a/policy/clienttimeout.go
+++ b/policy/clienttimeout.go
@@ -2,34 +2,47 @@
 
 import "math"
 
-// clientTimeout estimates how long the clients of a class and plan wait for the answer to one request. The
-// zero value is for a class and plan without requests so far.
+// Parameters of the vote for the usual timeout of clients.
+const (
+	minTimeoutSupport = 4  // support from which on the usual timeout counts as known
+	maxTimeoutSupport = 16 // largest support; limits for how many requests an outdated timeout counts as usual
+)
+
+// clientTimeout estimates how long most clients of a class and plan wait for the answer to one request. It is
+// a majority vote over the recent requests, in which no single request decides. Every arriving request takes
+// part, whatever becomes of it, so the decisions that depend on the vote cannot stop its correction. The zero
+// value is for a class and plan without requests so far.
 type clientTimeout struct {
-	latest float64 // seconds; timeout of the newest request
-	usual  float64 // seconds; newest timeout that two consecutive requests had; 0: unknown
+	usual   float64 // seconds; timeout that leads the vote
+	support int     // requests with the usual timeout, minus others; from 0 to maxTimeoutSupport
 }
 
 // observe records the timeout of a request. Timeouts that differ by less than tolerance count as equal.
 func (c *clientTimeout) observe(timeout, tolerance float64) {
-	if math.Abs(timeout-c.latest) < tolerance {
+	switch {
+	case math.Abs(timeout-c.usual) < tolerance:
+		c.support = min(c.support+1, maxTimeoutSupport)
+	case c.support > 0:
+		c.support--
+	default:
 		c.usual = timeout
+		c.support = 1
 	}
-	c.latest = timeout
 }
 
-// isUsual reports whether a timeout equals the usual timeout, or the usual timeout is unknown.
-func (c *clientTimeout) isUsual(timeout, tolerance float64) bool {
-	return c.usual == 0 || math.Abs(timeout-c.usual) < tolerance
+// isShortened reports whether a timeout is shorter than the usual timeout. It returns false while there is no
+// timeout that most clients have.
+func (c *clientTimeout) isShortened(timeout, tolerance float64) bool {
+	return c.support >= minTimeoutSupport && timeout <= c.usual-tolerance
 }
 
 // timeSpentBeforeRetry returns the number of seconds that the client of a retry has presumably spent before
 // it sent the retry, at this or another gateway. It returns 0 for a request that it does not recognize as a
 // retry.
 //
-// Most requests of a class and plan have the same timeout. If the timeout of a retry differs from the usual
-// timeout, the client has probably shortened the timeout to the time left of the class's deadline. Where
-// clients don't mark retries, any request with such a timeout counts as a retry. The result is 0 as long as
-// the usual timeout is unknown.
+// A client whose retry has a shorter timeout than is usual for the class and plan has probably shortened it
+// to the time left of the class's deadline. Where clients don't mark retries, any request with such a timeout
+// counts as a retry.
 func (e *Engine) timeSpentBeforeRetry(r Request, class *Class) float64 {
 	timeout := r.Deadline - r.SentAt
 	tolerance := e.timingMargin()
@@ -39,7 +52,7 @@
 	if mayBeFirst {
 		observed.observe(timeout, tolerance)
 	}
-	if !mayBeRetry || observed.isUsual(timeout, tolerance) {
+	if !mayBeRetry || !observed.isShortened(timeout, tolerance) {
 		return 0
 	}
 	return max(class.Deadline-timeout, 0)
