Leave half of the concurrency limit free of requests that are presumed late

Each slot of the limit that such a request took was missing to the next request of a higher level.

Change: requests that are presumed late have a level of their own, below those over quota, and wait until half of the limit is free. One that cannot be sent and would wait too long is rejected before units are asked for. An idle gateway sends them as before: TestIdleGatewayTriesEveryRequest passes 10,000 histories. TestRetryPresumedLateYieldsCapacity asks for the order at the limit, at half of it and below.

--- a/policy/admission.go
+++ b/policy/admission.go
@@ -15,6 +15,10 @@
 		e.rejectOrFail(req, ReasonTooLate)
 		return
 	}
+	if req.presumedLate && e.cannotBeSentFor(req, req.answerBy) {
+		e.rejectOrFail(req, ReasonQueue) // sooner than enqueue, since a counter call for it would be in vain
+		return
+	}
 	req.customer.addWaiting(req)
 	e.admit(req.customer)
 	if req.finished {
--- a/policy/clientretry_test.go
+++ b/policy/clientretry_test.go
@@ -71,38 +71,44 @@
 }
 
 // A retry whose objective had presumably passed when its client sent it would earn nothing. It yields to all others: it
-// is served where nobody else needs the capacity, behind all others where somebody does, and not at all where its wait
-// in the queue would be too long. Requests that are not retries keep their level.
+// is served where nobody else needs the capacity, behind all others and with a part of the limit where somebody does, and
+// not at all where its wait in the queue would be too long. Requests that are not retries keep their level.
 func TestRetryPresumedLateYieldsCapacity(t *testing.T) {
 	d := startRetryDriver(t, testSettings())
 	level := func(id RequestID) int { return d.engine.requests[id].level }
 
 	id, out := d.arrive(presumedLateLeft, false)
-	if onlyAction[SendAttempt](t, out); level(id) == 0 {
+	if onlyAction[SendAttempt](t, out); level(id) == presumedLateLevel {
 		t.Error("a request was demoted although the usual timeout of clients is unknown")
 	}
 	d.learnTimeout(usualTimeout)
 	id, out = d.arrive(usualTimeout, false)
-	if onlyAction[SendAttempt](t, out); level(id) == 0 {
+	if onlyAction[SendAttempt](t, out); level(id) == presumedLateLevel {
 		t.Error("a request that is not a retry was demoted")
 	}
 	id, out = d.arrive(presumedLateLeft, false)
-	if s := onlyAction[SendAttempt](t, out); level(id) != 0 || s.Timeout < 0.79 {
+	if s := onlyAction[SendAttempt](t, out); level(id) != presumedLateLevel || s.Timeout < 0.79 {
 		t.Errorf("a retry past its objective has level %d and %.2f s for its attempt, want the lowest and all of the objective",
 			level(id), s.Timeout)
 	}
 	d.arrive(usualTimeout, false)
 
-	d.engine.latency.mean, d.engine.limiter.limit, d.engine.limiter.inFlight = 0.1, 2, limitBurst // at the limit
+	const limit, lateLimit = 8, 8 * presumedLateLimitShare
+	d.engine.latency.mean, d.engine.limiter.limit, d.engine.limiter.inFlight = 0.1, limit, limit
 	late, out := d.arrive(presumedLateLeft, false)
 	if n := len(actionsOf[SendAttempt](out)) + len(actionsOf[Reject](out)); n != 0 {
 		t.Fatalf("a retry past its objective does not wait at the limit: %v", out)
 	}
 	first, _ := d.arrive(usualTimeout, false)
-	d.engine.limiter.inFlight = 0
-	sent := actionsOf[SendAttempt](d.handle(timerFired(maintenanceTimer, 0)))
-	if len(sent) != 2 || sent[0].Request != first || sent[1].Request != late {
-		t.Errorf("sent %v, want %d, which came later, before %d", sent, first, late)
+	d.engine.limiter.inFlight = lateLimit
+	out = d.handle(timerFired(maintenanceTimer, 0))
+	if s := onlyAction[SendAttempt](t, out); s.Request != first {
+		t.Errorf("sent %d, want %d, which came later and is not late", s.Request, first)
+	}
+	d.engine.limiter.inFlight = lateLimit - 1
+	out = d.handle(timerFired(maintenanceTimer, 0))
+	if s := onlyAction[SendAttempt](t, out); s.Request != late {
+		t.Errorf("sent %d, want %d", s.Request, late)
 	}
 	d.engine.limiter.inFlight = limitBurst
 	d.engine.limiter.limit = 0.1 // attempts 1 s apart
@@ -132,7 +138,7 @@
 			t.Errorf("%+v: rejected", c)
 			continue
 		}
-		if (req.level != 0) != c.level {
+		if (req.level != presumedLateLevel) != c.level {
 			t.Errorf("%+v: level %d", c, req.level)
 		}
 		d.handle(ClientDisconnected{Request: id})
@@ -181,17 +187,17 @@
 	d.learnTimeout(usualTimeout)
 	for _, timeout := range []float64{1, 1.1, 1.2, 1.3, usualTimeout} {
 		id, _ := d.arrive(timeout, false)
-		if d.engine.requests[id].level == 0 {
+		if d.engine.requests[id].level == presumedLateLevel {
 			t.Errorf("an unmarked request whose client waits %.1f s was demoted", timeout)
 		}
 	}
 	d.learnTimeout(usualTimeout)
 	for range 40 {
-		if id, _ := d.arrive(presumedLateLeft, true); d.engine.requests[id].level != 0 {
+		if id, _ := d.arrive(presumedLateLeft, true); d.engine.requests[id].level != presumedLateLevel {
 			t.Fatal("a marked retry past its objective was not demoted")
 		}
 	}
-	if id, _ := d.arrive(usualTimeout, true); d.engine.requests[id].level == 0 {
+	if id, _ := d.arrive(usualTimeout, true); d.engine.requests[id].level == presumedLateLevel {
 		t.Error("a marked retry with the usual timeout was demoted")
 	}
 }
--- a/policy/clienttimeoutproperty_test.go
+++ b/policy/clienttimeoutproperty_test.go
@@ -172,7 +172,7 @@
 			if len(actionsOf[SendAttempt](out)) != 1 {
 				h.t.Fatalf("request %d of class %d, whose client waits %.3f of the deadline, was not sent: %v", i, class, share, out)
 			}
-			if h.engine.settings.ClientsMarkRetries && !isRetry && h.engine.requests[id].level == 0 {
+			if h.engine.settings.ClientsMarkRetries && !isRetry && h.engine.requests[id].level == presumedLateLevel {
 				h.t.Errorf("unmarked request %d of class %d, whose client waits %.3f of the deadline, was demoted", i, class, share)
 			}
 			h.now += 0.1
--- a/policy/hedge.go
+++ b/policy/hedge.go
@@ -14,13 +14,13 @@
 }
 
 // mayHedge reports whether a hedged request may be sent in addition to an attempt. Only the newest attempt of
-// a request is hedged, and only while the concurrency limit allows an attempt even for the lowest level.
+// a request is hedged, and only while the concurrency limit allows an attempt even for requests over quota.
 // Customers with a concurrency limit get no hedged requests, since each hedged request would use a slot that
 // another request could use.
 func (e *Engine) mayHedge(req *request, number int) bool {
 	return e.settings.CanHedge &&
 		!req.finished && !req.streaming &&
 		number == len(req.attempts)-1 &&
-		!e.atLimit(0) &&
+		!e.atLimit(overQuotaLevel) &&
 		req.customer.quota.concurrencyLimit == 0
 }
--- a/policy/limiter.go
+++ b/policy/limiter.go
@@ -16,6 +16,7 @@
 	minLatencyRatioGain    = 0.05 // weight of the newest latency ratio in the mean if attempts end often
 	maxLatencyRatioGain    = 0.3  // weight of the newest latency ratio in the mean if attempts end rarely
 	reserveShare           = 0.15 // share of the limit that is reserved for the top levels
+	presumedLateLimitShare = 0.5  // share of the limit that requests may use which are presumed late
 	topLevelWeightShare    = 0.5  // lowest weight of a top level, as a share of the highest weight
 )
 
@@ -37,14 +38,11 @@
 	l.meanInFlight += gain * (float64(l.inFlight) - l.meanInFlight)
 }
 
-// full reports whether the limit allows no further attempt now. Only requests of a top level may use the
-// reserve. With many gateways, the limit of each can be less than one attempt. A limit below limitBurst
-// therefore applies to meanInFlight, and up to limitBurst attempts may be in flight.
-func (l *concurrencyLimiter) full(topLevel bool) bool {
-	capacity := l.limit
-	if !topLevel {
-		capacity *= 1 - reserveShare
-	}
+// full reports whether a share of the limit allows no further attempt now. With many gateways, the limit of
+// each can be less than one attempt. A limit below limitBurst therefore applies to meanInFlight, and up to
+// limitBurst attempts may be in flight.
+func (l *concurrencyLimiter) full(share float64) bool {
+	capacity := l.limit * share
 	if float64(l.inFlight) >= max(capacity, limitBurst) {
 		return true
 	}
@@ -81,7 +79,7 @@
 }
 
 // atLimit reports whether the concurrency limit allows no further attempt for requests of a level.
-func (e *Engine) atLimit(level int) bool { return e.limiter.full(e.queue.isTopLevel(level)) }
+func (e *Engine) atLimit(level int) bool { return e.limiter.full(e.queue.limitShare(level)) }
 
 // adjustLimit adjusts the concurrency limit by the latency ratio of an attempt. The shortest time between two
 // cuts is the mean latency of an attempt, but at least one tick.
--- a/policy/presumedlate.go
+++ b/policy/presumedlate.go
@@ -4,7 +4,8 @@
 // can only presume this, from the time that the client still waits. A presumption may be wrong for every
 // request of a class, and no outcome would correct it, so it never rejects a request while there is capacity
 // and never shortens the time of an attempt. A request that is presumed late gets only what no other request
-// needs: it has the lowest level, and gets no units while its customer is short of them.
+// needs: it has the lowest level, waits until presumedLateLimitShare of the concurrency limit is free, and
+// gets no units while its customer is short of them.
 
 // shortageMemory is the time in seconds for which a customer counts as short of units after a request has
 // been rejected for its quota. Rejections that follow from a shortage don't prolong it, so a request that is
@@ -26,7 +27,7 @@
 	if req.usefulUntil < e.now+e.latency.mean/2 {
 		e.presumedLate++
 		req.presumedLate = true
-		req.level = 0
+		req.level = presumedLateLevel
 	}
 }
 
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -6,9 +6,15 @@
 // wait is divided by the limit, which is 0 until the first backend is known.
 const minLimitForWait = 1e-3
 
-// priorityQueue holds admitted requests until the concurrency limit allows an attempt. There is one level for
-// each weight that a request can have (see Class), in ascending order. Higher levels are served first. Level
-// 0 is for requests over quota. The slices are indexed by level.
+// The lowest levels. Requests of the other levels are within their quota.
+const (
+	presumedLateLevel = iota // answers presumably earn nothing, see presumeUsefulTime
+	overQuotaLevel
+)
+
+// priorityQueue holds admitted requests until the concurrency limit allows an attempt. Above the two lowest
+// levels, there is one level for each weight that a request can have (see Class), in ascending order. Higher
+// levels are served first. The slices are indexed by level.
 type priorityQueue struct {
 	requests      [][]*request // queued requests of each level, in order of admission
 	weights       []float64    // weight of the level's requests
@@ -18,7 +24,7 @@
 
 // newPriorityQueue returns an empty queue with the levels that result from the settings.
 func newPriorityQueue(settings *Settings) priorityQueue {
-	weights := []float64{0} // level 0: over quota
+	weights := []float64{presumedLateLevel: -1, overQuotaLevel: 0} // below all weights of the settings
 	for _, class := range settings.Classes {
 		for _, plan := range settings.Plans {
 			weights = append(weights, class.PriorityWeight*plan.WeightFactor)
@@ -49,6 +55,17 @@
 	return q.weights[level] >= topLevelWeightShare*q.weights[q.highestLevel()]
 }
 
+// limitShare returns the share of the concurrency limit that requests of a level may use.
+func (q *priorityQueue) limitShare(level int) float64 {
+	switch {
+	case q.isTopLevel(level):
+		return 1
+	case level == presumedLateLevel:
+		return presumedLateLimitShare
+	}
+	return 1 - reserveShare
+}
+
 // updateArrivalRates updates the mean arrival rates from the arrivals since the last update, and resets the
 // counts of arrivals. elapsed is the time since the last update in seconds; gain is the weight of the new
 // rates in the means.
@@ -64,18 +81,22 @@
 // for too long. A request that would wait for longer than its answer is presumably useful gets the lowest
 // level, so that it does not hold up others.
 func (e *Engine) enqueue(req *request) {
-	if e.atLimit(req.level) {
-		if req.usefulUntil < req.answerBy && e.wouldWaitTooLong(req, req.usefulUntil) {
-			req.level = 0
-		}
-		if e.wouldWaitTooLong(req, req.answerBy) {
-			e.rejectOrFail(req, ReasonQueue)
-			return
-		}
+	if req.usefulUntil < req.answerBy && e.cannotBeSentFor(req, req.usefulUntil) {
+		req.level = presumedLateLevel
+	}
+	if e.cannotBeSentFor(req, req.answerBy) {
+		e.rejectOrFail(req, ReasonQueue)
+		return
 	}
 	e.queue.requests[req.level] = append(e.queue.requests[req.level], req)
 }
 
+// cannotBeSentFor reports whether a request would have to wait in the queue, and for too long for an answer
+// by the clock time answerBy.
+func (e *Engine) cannotBeSentFor(req *request, answerBy float64) bool {
+	return e.atLimit(req.level) && e.wouldWaitTooLong(req, answerBy)
+}
+
 // wouldWaitTooLong reports whether the expected wait in the queue exceeds the time until the request must be
 // sent for an answer by the clock time answerBy. A request waits for the queued requests of its level and of
 // higher levels, and for requests of higher levels that arrive during the wait. The expected wait in seconds
--- a/policy/quotaadmission.go
+++ b/policy/quotaadmission.go
@@ -114,7 +114,7 @@
 		return deferRequest
 	}
 	if c.quota.admitsOverQuota && c.takeLocalTokens(e.now, req.Units) {
-		req.level = 0
+		req.level = overQuotaLevel
 		return admitNow
 	}
 	return rejectForQuota
--- a/policy/request.go
+++ b/policy/request.go
@@ -5,7 +5,7 @@
 	Request
 	class            *Class
 	customer         *customer
-	level            int     // level in priorityQueue; 0: over quota
+	level            int     // level in priorityQueue
 	answerBy         float64 // clock time by which the request is to be answered; a later answer earns nothing
 	usefulUntil      float64 // clock time after which an answer presumably earns nothing; at most answerBy
 	presumedLate     bool    // usefulUntil was over at the arrival
