--- a/internal/gateway/connectionpool_test.go
+++ b/internal/gateway/connectionpool_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net"
 	"testing"
 	"time"
 
@@ -30,6 +31,32 @@
 	p.endpoints[1].idleConns[0].idleSince = time.Now().Add(reuseDelay)
 }
 
+// serveAttempt sends an attempt, which the backend serves on a new connection. It returns the backend's end of the
+// connection.
+func serveAttempt(t *testing.T, p *connectionPools, backend *peer, body string) net.Conn {
+	t.Helper()
+	results := startRoundTrip(p, newAttempt(testTimeout))
+	conn, _ := backend.acceptRequest(t)
+	respondOK(conn, body)
+	if got := await(t, results, "result"); got.outcome != policy.Served {
+		t.Errorf("outcome %d", got.outcome)
+	}
+	return conn
+}
+
+// resultBehindDuplicate returns the result of an attempt whose response is "second". Before it, a duplicate of the
+// response "first" to the attempt before comes on the connection of that one, which has just been used.
+func resultBehindDuplicate(t *testing.T, p *connectionPools, backend *peer) attemptResult {
+	t.Helper()
+	conn := serveAttempt(t, p, backend, "first")
+	markRecentlyUsed(p)
+	results := startRoundTrip(p, newAttempt(testTimeout))
+	other, _ := backend.acceptRequest(t)
+	respondOK(conn, "first")
+	respondOK(other, "second")
+	return await(t, results, "result")
+}
+
 func TestAttemptWithoutConnectionIsConnectFailed(t *testing.T) {
 	backend := newPeer(t)
 	p := newPoolsFor(t, backend.address())
@@ -48,20 +75,11 @@
 func TestIdleConnectionClosedByBackendIsNotReused(t *testing.T) {
 	backend := newPeer(t)
 	p := newPoolsFor(t, backend.address())
-	results := startRoundTrip(p, newAttempt(testTimeout))
-	conn, _ := backend.acceptRequest(t)
-	respondOK(conn, "")
-	await(t, results, "result")
-	conn.Close()
+	serveAttempt(t, p, backend, "").Close()
 	idle := p.endpoints[1].idleConns[0]
 	// The kernel may take a moment to deliver the close.
 	awaitCondition(t, "the idle connection was never closed", func() bool { return !isOpenWithoutInput(idle.Conn) })
-	results = startRoundTrip(p, newAttempt(testTimeout))
-	conn, _ = backend.acceptRequest(t)
-	respondOK(conn, "")
-	if got := await(t, results, "result"); got.outcome != policy.Served {
-		t.Errorf("outcome %d", got.outcome)
-	}
+	serveAttempt(t, p, backend, "") // on a new connection
 }
 
 // A backend may send a duplicate of a response shortly after the response. If another request had been sent on the
@@ -69,16 +87,7 @@
 func TestDuplicateResponseIsNotReadAsNextResponse(t *testing.T) {
 	backend := newPeer(t)
 	p := newPoolsFor(t, backend.address())
-	results := startRoundTrip(p, newAttempt(testTimeout))
-	conn, _ := backend.acceptRequest(t)
-	respondOK(conn, "first")
-	await(t, results, "result")
-	markRecentlyUsed(p)
-	results = startRoundTrip(p, newAttempt(testTimeout))
-	other, _ := backend.acceptRequest(t)
-	respondOK(conn, "first")
-	respondOK(other, "second")
-	if got := await(t, results, "result"); string(got.body) != "second" {
+	if got := resultBehindDuplicate(t, p, backend); string(got.body) != "second" {
 		t.Errorf("body %q", got.body)
 	}
 }
@@ -89,16 +98,7 @@
 	backend := newPeer(t)
 	p := newPoolsFor(t, backend.address())
 	p.maxConns = 1
-	results := startRoundTrip(p, newAttempt(testTimeout))
-	conn, _ := backend.acceptRequest(t)
-	respondOK(conn, "first")
-	await(t, results, "result")
-	markRecentlyUsed(p)
-	results = startRoundTrip(p, newAttempt(testTimeout))
-	other, _ := backend.acceptRequest(t)
-	respondOK(conn, "first")
-	respondOK(other, "second")
-	if got := await(t, results, "result"); string(got.body) != "second" || p.openConns != 1 {
+	if got := resultBehindDuplicate(t, p, backend); string(got.body) != "second" || p.openConns != 1 {
 		t.Errorf("body %q, %d connections open", got.body, p.openConns)
 	}
 }
