Keep requests that are presumed late below those over quota

Cause: decideWhileExhausted sets the level of a request that local tokens admit over quota. Since that level is above the one of requests that are presumed late, so such a request rose by being over quota, and could use more of the concurrency limit than one within its quota.

Change: being over quota can only lower the level. TestRetryPresumedLateStaysLastOverQuota failed before ("level 1, want 0") and passes now. Comments name the level that they mean.

--- a/policy/clientretry_test.go
+++ b/policy/clientretry_test.go
@@ -269,3 +269,30 @@
 		}
 	})
 }
+
+// A retry that is presumed late keeps the lowest level if it is admitted over quota: that level is above its own.
+func TestRetryPresumedLateStaysLastOverQuota(t *testing.T) {
+	set := testSettings()
+	set.Plans[1] = Plan{WeightFactor: 1.5, Rate: 2, Burst: 4, OverQuotaWeight: 0.3, CeilingRate: 4, CeilingBurst: 14}
+	d := startEngine(t, set, readyBackends(4)...)
+	usualOfPlan := &d.engine.clientTimeouts[1]
+	*usualOfPlan = clientTimeout{usual: usualTimeout, support: maxTimeoutSupport}
+	d.now += 30 // the local tokens refill
+	for _, c := range []struct {
+		timeout float64
+		level   int
+	}{
+		{usualTimeout, overQuotaLevel},
+		{presumedLateLeft, presumedLateLevel},
+	} {
+		d.nextID++
+		out := d.handle(Request{ID: d.nextID, Plan: 1, Units: 1, Gateways: 2, Customer: 5, Deadline: d.now + c.timeout})
+		for _, call := range actionsOf[CounterAdd](out) { // other gateways have used up the quota
+			out = append(out, d.handle(CounterReply{Name: call.Name, Total: 1000})...)
+		}
+		if onlyAction[SendAttempt](t, out); d.engine.requests[d.nextID].level != c.level {
+			t.Errorf("a request whose client waits %.1f s has level %d, want %d",
+				c.timeout, d.engine.requests[d.nextID].level, c.level)
+		}
+	}
+}
--- a/policy/clienttimeout.go
+++ b/policy/clienttimeout.go
@@ -9,9 +9,9 @@
 )
 
 // clientTimeout estimates how long most clients of a class and plan wait for the answer to one request. It is
-// a majority vote over the recent requests, in which no single request decides. Every arriving request takes
-// part, whatever becomes of it, so the decisions that depend on the vote cannot stop its correction. The zero
-// value is for a class and plan without requests so far.
+// a majority vote over the recent requests, in which no single request decides. Every arriving request that
+// may be a client's first takes part, whatever becomes of it, so the decisions that depend on the vote cannot
+// stop its correction. The zero value is for a class and plan without requests so far.
 type clientTimeout struct {
 	usual   float64 // seconds; timeout that leads the vote
 	support int     // requests with the usual timeout, minus others; from 0 to maxTimeoutSupport
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -100,8 +100,7 @@
 // wouldWaitTooLong reports whether the expected wait in the queue exceeds the time until the request must be
 // sent for an answer by the clock time answerBy. A request waits for the queued requests of its level and of
 // higher levels, and for requests of higher levels that arrive during the wait. The expected wait in seconds
-// is
-// ahead*secondsPerAttempt / (1 - secondsPerAttempt*higherRate), in which:
+// is ahead*secondsPerAttempt / (1 - secondsPerAttempt*higherRate), in which:
 //   - ahead is the number of queued requests that the request waits for, plus 1 for the request itself,
 //   - secondsPerAttempt is the average time between two attempts that the concurrency limit allows, and
 //   - higherRate is the number of requests per second that arrive at higher levels.
--- a/policy/quotaadmission.go
+++ b/policy/quotaadmission.go
@@ -106,15 +106,15 @@
 }
 
 // decideWhileExhausted decides on a request while the shared bucket has too few units. The request waits if
-// the bucket refills soon. Otherwise the request is over quota. Local tokens then admit it at the lowest
-// level if the plan allows requests over quota and there are at least as many tokens as the request has
+// the bucket refills soon. Otherwise the request is over quota. Local tokens then admit it, at overQuotaLevel
+// or below, if the plan allows requests over quota and there are at least as many tokens as the request has
 // units. If not, the request is rejected.
 func (e *Engine) decideWhileExhausted(c *customer, req *request) admissionDecision {
 	if c.refillsSoon(req, e.settings.MaxRetryAfter) {
 		return deferRequest
 	}
 	if c.quota.admitsOverQuota && c.takeLocalTokens(e.now, req.Units) {
-		req.level = overQuotaLevel
+		req.level = min(req.level, overQuotaLevel)
 		return admitNow
 	}
 	return rejectForQuota
--- a/policy/quotaparameters.go
+++ b/policy/quotaparameters.go
@@ -146,8 +146,8 @@
 //
 // Local tokens get the rest of the ceiling's burst and rate.
 //
-// If requests over quota earn more than they cost, local tokens also admit requests over quota, at the lowest
-// level. This needs a ceiling, since nothing else limits the requests over quota.
+// If requests over quota earn more than they cost, local tokens also admit requests over quota, at
+// overQuotaLevel. This needs a ceiling, since nothing else limits the requests over quota.
 func (q *quotaParameters) applyCeiling(p *Plan) {
 	q.hasCeiling = true
 	q.rate = min(p.Rate, p.CeilingRate)
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -58,7 +58,7 @@
 // Plan describes what a customer has bought. All limits are per customer and hold for all gateways together.
 //
 // The quota is a token bucket of units. The ceiling is a second token bucket of units, and is never exceeded.
-// Under a plan with a ceiling, requests over quota may be served at the lowest level.
+// Under a plan with a ceiling, requests over quota may be served, below all within the quota.
 type Plan struct {
 	WeightFactor    float64 // factor by which the plan multiplies Class.PriorityWeight
 	Rate            float64 // units per second that refill the quota; 0: no quota
