Count the calls to discovery that are given up or fail, for the log

The log had the lists received and, every 10 s, a line about a failed poll. It could not tell calls that were given up from calls answered badly, nor lists that never came from lists that were not applied.

The counts now have discovery.calls, discovery.unanswered and discovery.failed.

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -48,6 +48,7 @@
 	timeouts pollTimeouts
 	client   *http.Client
 	onList   func(EndpointList)
+	metrics  *metrics
 	log      *slog.Logger
 
 	generation       int64     // EndpointList.Generation of the last list received
@@ -73,6 +74,7 @@
 		timeouts:  newPollTimeouts(drainGrace),
 		client:    &http.Client{Transport: transport},
 		onList:    onList,
+		metrics:   &metrics{},
 		log:       slog.Default(),
 		listInUse: listInUse,
 	}
@@ -84,6 +86,7 @@
 func (w *discoveryWatcher) run(ctx context.Context) {
 	defer w.client.CloseIdleConnections()
 	for ctx.Err() == nil {
+		w.metrics.add(discoveryCalls)
 		list, err := w.poll(ctx)
 		if err == nil {
 			w.handleList(list)
@@ -115,9 +118,15 @@
 	if errors.As(err, &invalidList) || errors.Is(err, syscall.ECONNREFUSED) {
 		w.canWatch = false // another process may be at the address by the next poll, with generations of its own
 	}
-	if !w.canWatch && errors.Is(err, context.DeadlineExceeded) {
+	timedOut := errors.Is(err, context.DeadlineExceeded)
+	if !w.canWatch && timedOut {
 		w.fullListTimeouts++
 	}
+	if timedOut {
+		w.metrics.add(discoveryUnanswered)
+	} else if ctx.Err() == nil {
+		w.metrics.add(discoveryFailed)
+	}
 	if ctx.Err() == nil && time.Since(w.warnedAt) > discoveryWarnInterval {
 		w.warnedAt = time.Now()
 		w.log.Warn("discovery poll failed", "address", w.address, "error", err)
--- a/internal/gateway/discovery_test.go
+++ b/internal/gateway/discovery_test.go
@@ -78,6 +78,27 @@
 	}
 }
 
+// The log tells calls that discovery has not answered in time from calls that it has answered badly.
+func TestDiscoveryCallsAreCounted(t *testing.T) {
+	t.Parallel()
+	discovery := newPeer(t)
+	watcher := newDiscoveryWatcher(discovery.address(), 800*time.Millisecond, true, func(EndpointList) {})
+	runWatcher(t, watcher)
+	conn, reader := discovery.acceptRequest(t)
+	writeResponse(conn, http.StatusOK, emptyEndpointList)
+	readRequest(t, reader) // this watch gets no response
+	conn, _ = discovery.acceptRequest(t)
+	writeResponse(conn, http.StatusInternalServerError, "{}")
+	conn, reader = discovery.acceptRequest(t)
+	writeResponse(conn, http.StatusOK, emptyEndpointList)
+	readRequest(t, reader)
+	awaitCondition(t, "the calls were not counted by their ends", func() bool {
+		counts := &watcher.metrics.counts
+		return counts[discoveryCalls].Load() >= 5 && counts[discoveryUnanswered].Load() == 1 &&
+			counts[discoveryFailed].Load() == 1
+	})
+}
+
 // A new process of discovery at the old address counts generations of its own, and the watcher must not apply its changes to
 // the list of the old process: a lower generation, or an address at which nobody listens, makes it ask for the full list.
 func TestNewProcessOfDiscoveryIsAskedForFullList(t *testing.T) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -37,6 +37,9 @@
 	clientsDisconnected          // clients that closed their connection or its sending side before the answer
 	attemptsRetried              // attempts other than the first of a request
 	listsReceived                // endpoint lists received from discovery
+	discoveryCalls               // calls to discovery
+	discoveryUnanswered          // calls to discovery that were given up before their response was complete
+	discoveryFailed              // calls to discovery that ended with an error or without a valid list
 	metricCount
 )
 
@@ -62,6 +65,9 @@
 	clientsDisconnected:   "requests.client_disconnected",
 	attemptsRetried:       "attempts.retried",
 	listsReceived:         "discovery.lists",
+	discoveryCalls:        "discovery.calls",
+	discoveryUnanswered:   "discovery.unanswered",
+	discoveryFailed:       "discovery.failed",
 }
 
 // metrics holds the counts of a gateway since its start. Its methods are safe for concurrent use; the zero value is
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -154,6 +154,7 @@
 	ended := make(chan struct{})
 	watcher := newDiscoveryWatcher(address, toDuration(s.config.DrainGrace), listInUse, s.frontend.loop.postEndpointList)
 	watcher.log = s.log
+	watcher.metrics = &s.frontend.loop.metrics
 	s.components.Go(func() {
 		defer close(ended)
 		watcher.run(ctx)
