Let calls to discovery go on while further ones begin, so that slow answers are heard

Cause: pollTimeouts.watchTimeout gave up a watch 0.5 s after its wait (grace of 2 s), and fullListTimeout a call for the list after 1.5 s. The call was closed with its answer on the way, and the next one had the same time: a circle. One number served two needs: to notice a dead watch within the grace of a drain, and to bound a call.

Change: the two needs have times of their own. A further call begins at the old interval, on its own connection (watchInterval, fullListInterval); the earlier ones go on, and the first answer ends the poll. At most maxCalls are open, 3 to 6 by the grace, computed so that a call outlasts a wait and 2 s; the oldest may last 30 s, so that no pace is a circle. While answers are slow, the interval follows the last one (responsePace), up to 1.8 s, to save calls. All bodies together take memory from one budget, and a body that pauses for 2 s ends its call. Dials end with their call.

Tests: TestSlowResponsesOfDiscoveryArrive fails on the version before (no list within 20 s) and passes. TestIntervalsOfCallsMeetTheirBounds replaces TestMissedChangeArrivesInTime, whose sums were of time-outs that are gone; it asks for the same 6 s with answers of 2 s (1.4 s and less before), and for the sum behind a slow answer. The check of TestSilentWatchIsReplacedWithinDrainGrace is the same, without the pause that no longer follows a silent watch.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -116,6 +116,9 @@
 	return c, c.validate()
 }
 
+// hasCachedList reports whether the configuration has a list of backends to begin with.
+func (c *Config) hasCachedList() bool { return len(c.CachedEndpoints.Entries) > 0 }
+
 // validate rejects values with which a gateway can't run, before any socket is opened.
 func (c *Config) validate() error {
 	checks := []func() error{
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"io"
 	"log/slog"
-	"net/http"
+	"net"
+	"slices"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -15,47 +15,44 @@
 // has sent them, which counts from the beginning. What it has told before is not known.
 var errOlderGeneration = errors.New("the changes have an older generation than the list they apply to")
 
-const (
-	endpointsPath         = "/registry/instances"
-	maxListBytes          = 4 << 20          // bytes; maximum size of a response body
-	maxListHeaderBytes    = 8 << 10          // bytes; maximum size of a response's header
-	maxDiscoveryConns     = 2                // maximum number of connections, to save file descriptors
-	discoveryWarnInterval = 10 * time.Second // minimum time between log lines about failed polls
-)
-
-// invalidListError reports a response from discovery that holds no valid list. Discovery may have rejected the
-// generation in the query of a watch, so the next poll asks for the full list.
-type invalidListError struct {
-	status string // status of the response; empty if the status is 200
-	cause  error  // error in the body of the response; nil if the status is not 200
-}
-
-func (e *invalidListError) Error() string {
-	if e.cause == nil {
-		return "unexpected status " + e.status
-	}
-	return "invalid endpoint list: " + e.cause.Error()
-}
-
-func (e *invalidListError) Unwrap() error { return e.cause }
+// discoveryWarnInterval is the minimum time between log lines about failed calls.
+const discoveryWarnInterval = 10 * time.Second
 
 // discoveryWatcher polls discovery for the endpoint list and passes each list or change to onList. It asks for the full
 // list first. After the full list has arrived, each poll is a watch: a long poll for the changes since the last
-// generation received. After an invalidListError the watcher asks for the full list again. The goroutine that calls run
-// owns all fields.
+// generation received. After an invalidListError the watcher asks for the full list again.
+//
+// A poll is one call or several. While a call has no response, it can't be known whether the response is slow or will
+// never come. Therefore the watcher gives up no call for that, but begins a further one, on another connection, at the
+// intervals of pollTimeouts. The first response ends the poll and its other calls.
+//
+// When discovery moves to another address, the first call to the new address asks for the full list.
+//
+// The goroutine that calls run owns all fields but moves.
 type discoveryWatcher struct {
-	address  string
 	timeouts pollTimeouts
-	client   *http.Client
+	dial     dialFunc
 	onList   func(EndpointList)
+	memory   *memoryBudget // for the bodies of responses
 	metrics  *metrics
 	log      *slog.Logger
 
-	generation       int64     // EndpointList.Generation of the last list received
-	canWatch         bool      // the next poll is a watch; if false, the next poll asks for the full list
-	listInUse        bool      // the gateway routes requests by a cached list or a list from discovery
-	fullListTimeouts int       // number of consecutive polls for the full list that have timed out
-	warnedAt         time.Time // time of the last log line about a failed poll
+	moves   chan string          // the newest address that the goroutine of run has not taken up; capacity 1
+	results chan discoveryResult // ends of calls
+	running sync.WaitGroup       // goroutines of calls
+
+	source   *discoverySource // the newest address
+	calls    []*discoveryCall // open calls, oldest first
+	nextCall *time.Timer      // fires when the next call begins
+	nextAt   time.Time        // time at which nextCall fires
+	pace     responsePace
+
+	generation int64     // EndpointList.Generation of the last list received from source
+	canWatch   bool      // the next call is a watch; if false, the next call asks for the full list
+	listInUse  bool      // the gateway routes requests by a cached list or a list from discovery
+	unanswered int       // number of calls of this poll that were added because earlier ones had no response yet
+	failures   int       // number of calls of this poll that have failed
+	warnedAt   time.Time // time of the last log line about a failed call
 }
 
 // newDiscoveryWatcher returns a watcher for the discovery service at the given address. drainGrace is the time after
@@ -64,116 +61,223 @@
 func newDiscoveryWatcher(
 	address string, drainGrace time.Duration, listInUse bool, onList func(EndpointList),
 ) *discoveryWatcher {
-	transport := &http.Transport{
-		DisableCompression:     true,
-		MaxConnsPerHost:        maxDiscoveryConns,
-		MaxResponseHeaderBytes: maxListHeaderBytes,
-	}
-	return &discoveryWatcher{
-		address:   address,
+	w := &discoveryWatcher{
 		timeouts:  newPollTimeouts(drainGrace),
-		client:    &http.Client{Transport: transport},
+		dial:      new(net.Dialer).DialContext,
 		onList:    onList,
 		metrics:   &metrics{},
 		log:       slog.Default(),
+		moves:     make(chan string, 1),
+		results:   make(chan discoveryResult),
 		listInUse: listInUse,
 	}
+	w.moves <- address
+	return w
 }
 
-// run polls until ctx ends. After a failed poll, the next poll begins after watchRetryDelay, on a new connection. If
-// the next poll is a watch, it asks for the changes since the last generation received, so its response includes all
-// changes made in the meantime.
+// setAddress makes the watcher poll discovery at another address. It must not be called concurrently.
+func (w *discoveryWatcher) setAddress(address string) {
+	select {
+	case <-w.moves:
+	default:
+	}
+	w.moves <- address
+}
+
+// run polls until ctx ends.
 func (w *discoveryWatcher) run(ctx context.Context) {
-	defer w.client.CloseIdleConnections()
-	for ctx.Err() == nil {
-		w.metrics.add(discoveryCalls)
-		list, err := w.poll(ctx)
-		if err == nil {
-			w.handleList(list)
-			continue
-		}
-		w.handleFailure(ctx, err)
-		w.client.CloseIdleConnections()
+	ctx, cancel := context.WithCancel(ctx)
+	defer w.stop(cancel)
+	w.memory = newMemoryBudget(listsKind, listsMemory, w.log)
+	w.nextCall = time.NewTimer(maxCallTime)
+	for {
 		select {
 		case <-ctx.Done():
-		case <-time.After(watchRetryDelay):
+			return
+		case address := <-w.moves:
+			w.move(ctx, address)
+		case result := <-w.results:
+			w.handleResult(ctx, result)
+		case <-w.nextCall.C:
+			if len(w.calls) > 0 {
+				w.unanswered++
+			}
+			w.beginCall(ctx)
 		}
 	}
 }
 
-// handleList records the generation of a list and passes the list to onList.
-func (w *discoveryWatcher) handleList(list EndpointList) {
-	w.generation = list.Generation
-	w.canWatch = true
-	w.listInUse = true
-	w.fullListTimeouts = 0
-	w.onList(list)
+// stop ends all calls, and waits for their goroutines.
+func (w *discoveryWatcher) stop(cancelCalls context.CancelFunc) {
+	cancelCalls()
+	w.running.Wait()
+	w.nextCall.Stop()
+	if w.source != nil {
+		w.source.client.CloseIdleConnections()
+	}
 }
 
-// handleFailure handles the error of a failed poll. After an invalid list, or if nobody listens at the address of
-// discovery, the next poll asks for the full list. After a poll for the full list has timed out, the next poll gets a
-// longer timeout. handleFailure logs at most one error in discoveryWarnInterval.
-func (w *discoveryWatcher) handleFailure(ctx context.Context, err error) {
-	var invalidList *invalidListError
-	if errors.As(err, &invalidList) || errors.Is(err, syscall.ECONNREFUSED) {
-		w.canWatch = false // another process may be at the address by the next poll, with generations of its own
+// move makes the calls that begin from now on go to another address.
+func (w *discoveryWatcher) move(ctx context.Context, address string) {
+	if w.source != nil {
+		if address == w.source.address {
+			return
+		}
+		w.source.client.CloseIdleConnections()
+		w.endCalls()
+		w.pace = responsePace{}
 	}
-	timedOut := errors.Is(err, context.DeadlineExceeded)
-	if !w.canWatch && timedOut {
-		w.fullListTimeouts++
+	w.source = newDiscoverySource(address, w.timeouts.maxCalls(), w.dial)
+	w.canWatch = false // another process may be at the new address, with generations of its own
+	w.beginPoll(ctx)
+}
+
+// beginPoll begins the first call of a poll.
+func (w *discoveryWatcher) beginPoll(ctx context.Context) {
+	w.unanswered = 0
+	w.failures = 0
+	w.beginCall(ctx)
+}
+
+// beginCall begins a call, and schedules the next one for the case that no response comes. If too many calls are open,
+// the one after the oldest gives way (see pollTimeouts.maxCalls).
+func (w *discoveryWatcher) beginCall(ctx context.Context) {
+	if len(w.calls) >= w.timeouts.maxCalls() {
+		w.giveUp(w.calls[1])
 	}
-	if timedOut {
-		w.metrics.add(discoveryUnanswered)
-	} else if ctx.Err() == nil {
-		w.metrics.add(discoveryFailed)
+	callContext, cancel := context.WithTimeout(ctx, maxCallTime)
+	call := &discoveryCall{
+		source:   w.source,
+		isWatch:  w.canWatch,
+		since:    w.generation,
+		longPoll: w.timeouts.longPoll,
+		cancel:   cancel,
 	}
-	if ctx.Err() == nil && time.Since(w.warnedAt) > discoveryWarnInterval {
-		w.warnedAt = time.Now()
-		w.log.Warn("discovery poll failed", "address", w.address, "error", err)
+	w.calls = append(w.calls, call)
+	w.metrics.add(discoveryCalls)
+	w.running.Go(func() {
+		defer cancel()
+		w.deliver(ctx, call.do(callContext, w.memory))
+	})
+	if call.isWatch {
+		w.schedule(w.timeouts.watchInterval(w.pace))
+	} else {
+		w.schedule(w.timeouts.fullListInterval(w.unanswered, w.listInUse, w.pace))
 	}
 }
 
-// poll asks for the full list, or for the changes since the last generation, and waits for the response.
-func (w *discoveryWatcher) poll(ctx context.Context) (EndpointList, error) {
-	url := "http://" + w.address + endpointsPath
-	timeout := w.timeouts.fullListTimeout(w.fullListTimeouts, w.listInUse)
-	if w.canWatch {
-		url += fmt.Sprintf("?since=%d&timeout_ms=%d", w.generation, w.timeouts.longPoll.Milliseconds())
-		timeout = w.timeouts.watchTimeout()
+// schedule makes the next call begin after the given time.
+func (w *discoveryWatcher) schedule(delay time.Duration) {
+	w.nextAt = time.Now().Add(delay)
+	w.nextCall.Reset(delay)
+}
+
+// endCalls ends all open calls.
+func (w *discoveryWatcher) endCalls() {
+	for len(w.calls) > 0 {
+		w.giveUp(w.calls[0])
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	body, err := w.get(ctx, url)
+}
+
+// giveUp ends an open call.
+func (w *discoveryWatcher) giveUp(call *discoveryCall) {
+	w.remove(call)
+	call.cancel()
+	w.metrics.add(discoveryUnanswered)
+}
+
+// remove removes a call from the open calls. It returns false if the call was not open any more.
+func (w *discoveryWatcher) remove(call *discoveryCall) bool {
+	index := slices.Index(w.calls, call)
+	if index < 0 {
+		return false
+	}
+	w.calls = slices.Delete(w.calls, index, index+1)
+	return true
+}
+
+// handleResult handles the end of a call. Calls that have been given up are ignored.
+func (w *discoveryWatcher) handleResult(ctx context.Context, result discoveryResult) {
+	defer result.memory.release()
+	if !w.remove(result.call) {
+		return
+	}
+	if result.err != nil {
+		w.handleFailure(result.call, result.err)
+		return
+	}
+	list, err := result.call.decode(result.body)
 	if err != nil {
-		return EndpointList{}, err
+		w.handleFailure(result.call, &invalidListError{cause: err})
+		return
 	}
-	list, err := decodeEndpointList(body, !w.canWatch)
-	if err == nil && w.canWatch && !list.Reset && list.Generation < w.generation {
+	w.handleList(result, list)
+	w.beginPoll(ctx)
+}
+
+// decode decodes the body of the response to the call.
+func (c *discoveryCall) decode(body []byte) (EndpointList, error) {
+	list, err := decodeEndpointList(body, !c.isWatch)
+	if err == nil && c.isWatch && !list.Reset && list.Generation < c.since {
 		err = errOlderGeneration
 	}
-	if err != nil {
-		return EndpointList{}, &invalidListError{cause: err}
+	return list, err
+}
+
+// handleList ends all other calls, whose responses could be older, and passes a list to onList.
+func (w *discoveryWatcher) handleList(result discoveryResult, list EndpointList) {
+	call := result.call
+	w.endCalls()
+	if call.isWatch {
+		w.pace.observeWatch(result.elapsed, call.longPoll, list.Reset || len(list.Entries) > 0)
+	} else {
+		w.pace.observeFullList(result.elapsed)
 	}
-	return list, nil
+	w.generation = list.Generation
+	w.canWatch = w.canWatch || list.Reset
+	w.listInUse = true
+	w.onList(list)
 }
 
-// get returns the body of a response with status 200. Any other status gives an invalidListError.
-func (w *discoveryWatcher) get(ctx context.Context, url string) ([]byte, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return nil, err
+// handleFailure handles the error of a call. After an invalid list, or
+// if nobody listens at the address of discovery, the next call asks for the full list. The next call begins after
+// watchRetryDelay. If other calls are open, the delay doubles with each failure.
+func (w *discoveryWatcher) handleFailure(call *discoveryCall, err error) {
+	if isGivenUp(err) {
+		w.metrics.add(discoveryUnanswered)
+	} else {
+		w.metrics.add(discoveryFailed)
 	}
-	resp, err := w.client.Do(req)
-	if err != nil {
-		return nil, err
+	w.warn(call, err)
+	call.source.client.CloseIdleConnections()
+	var invalidList *invalidListError
+	if errors.As(err, &invalidList) || errors.Is(err, syscall.ECONNREFUSED) {
+		w.canWatch = false // another process may be at the address by the next call, with generations of its own
 	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
-	if err != nil {
-		return nil, err
+	delay := watchRetryDelay
+	if len(w.calls) > 0 {
+		delay <<= min(w.failures, maxRetryBackoff)
+	}
+	w.failures++
+	if time.Now().Add(delay).Before(w.nextAt) {
+		w.schedule(delay)
 	}
-	if resp.StatusCode != http.StatusOK {
-		return nil, &invalidListError{status: resp.Status}
+}
+
+// warn logs the error of a failed call, at most once in discoveryWarnInterval.
+func (w *discoveryWatcher) warn(call *discoveryCall, err error) {
+	if time.Since(w.warnedAt) <= discoveryWarnInterval {
+		return
+	}
+	w.warnedAt = time.Now()
+	w.log.Warn("discovery poll failed", "address", call.source.address, "error", err)
+}
+
+// deliver passes the end of a call to the goroutine of run, unless the watcher is stopping.
+func (w *discoveryWatcher) deliver(ctx context.Context, result discoveryResult) {
+	select {
+	case w.results <- result:
+	case <-ctx.Done():
+		result.memory.release()
 	}
-	return body, nil
 }
--- a/internal/gateway/discovery_drain_test.go
+++ b/internal/gateway/discovery_drain_test.go
@@ -13,23 +13,39 @@
 	"time"
 )
 
-// maxChangeDelay is the time within which a gateway must receive a change of the endpoint list. The time begins when
-// discovery has the change and can be reached.
-const maxChangeDelay = 6 * time.Second
-
-// For every drain grace, three times must add up to maxChangeDelay at most: the timeout of a poll that gets no
-// response, watchRetryDelay, and the time that the response to the next poll takes.
-func TestMissedChangeArrivesInTime(t *testing.T) {
+// The times of calls to discovery meet the requirements that their constants state, for every drain grace.
+func TestIntervalsOfCallsMeetTheirBounds(t *testing.T) {
+	paces := []responsePace{{}, {minResponseTime}, {time.Second}, {slowResponseTime}, {time.Minute}}
 	for grace := time.Duration(0); grace <= time.Minute; grace += 100 * time.Millisecond {
 		timeouts := newPollTimeouts(grace)
-		if total := timeouts.watchTimeout() + watchRetryDelay + timeouts.response; total > maxChangeDelay {
-			t.Fatalf("with a drain grace of %v, a change may arrive after %v", grace, total)
-		}
-		for timedOut := range 10 {
-			if total := timeouts.fullListTimeout(timedOut, false) + watchRetryDelay + timeouts.response; total > maxChangeDelay {
-				t.Fatalf("with a drain grace of %v and %d timed-out polls, a list may arrive after %v", grace, timedOut, total)
+		for _, pace := range paces {
+			interval := timeouts.watchInterval(pace)
+			if total := interval + slowResponseTime; total >= maxChangeDelay {
+				t.Fatalf("grace %v, %+v: a change may arrive after %v", grace, pace, total)
+			}
+			if total := 2*slowResponseTime + interval; total >= maxChangeDelay+max(0, grace-2500*time.Millisecond) {
+				t.Fatalf("grace %v, %+v: a change may arrive after %v, behind a slow response", grace, pace, total)
 			}
+			for unanswered := range 10 {
+				for _, listInUse := range []bool{true, false} {
+					total := timeouts.fullListInterval(unanswered, listInUse, pace) + slowResponseTime
+					if total >= maxChangeDelay {
+						t.Fatalf("grace %v, %+v, %d unanswered calls: a list may arrive after %v", grace, pace, unanswered, total)
+					}
+				}
+			}
+		}
+		usual := timeouts.watchInterval(responsePace{})
+		if shortest := newPollTimeouts(0).watchInterval(responsePace{}); usual > max(grace*9/10, shortest) {
+			t.Errorf("grace %v: the next watch begins after %v", grace, usual)
 		}
+		lasts := time.Duration(timeouts.maxCalls()-1) * usual
+		if slowest := timeouts.longPoll + slowResponseTime; lasts <= slowest {
+			t.Errorf("grace %v: a call may be given up after %v, and a slow response takes %v", grace, lasts, slowest)
+		}
+	}
+	if watchRetryDelay >= 200*time.Millisecond {
+		t.Errorf("discovery forgets a watch before it is repeated after %v", watchRetryDelay)
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/discovery_pace_test.go
@@ -0,0 +1,326 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Discovery whose responses take longer than the gateway expects must still be heard. Before, each call was given up
+// before its response, and the next one as well, so that a drain was never noticed (review/7).
+func TestSlowResponsesOfDiscoveryArrive(t *testing.T) {
+	t.Parallel()
+	const responseTime = 1700 * time.Millisecond
+	slowDiscovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		select {
+		case <-req.Context().Done():
+		case <-time.After(responseTime):
+			text := `{"generation": 42, "reset": false, "instances": []}`
+			if !req.URL.Query().Has("since") {
+				text = emptyEndpointList
+			}
+			io.WriteString(w, text)
+		}
+	}))
+	t.Cleanup(slowDiscovery.Close)
+	received := make(chan EndpointList, 64)
+	runWatcher(t, newDiscoveryWatcher(slowDiscovery.Listener.Addr().String(), 2*time.Second, true,
+		func(list EndpointList) { received <- list }))
+	var last time.Time
+	for _, generation := range []int64{41, 42, 42} {
+		if list := await(t, received, "list"); list.Generation != generation {
+			t.Errorf("generation %d, want %d", list.Generation, generation)
+		}
+		if elapsed := time.Since(last); !last.IsZero() && elapsed > maxChangeDelay {
+			t.Errorf("a list came %v after the one before", elapsed)
+		}
+		last = time.Now()
+	}
+}
+
+// simulatedDiscovery is a discovery service in the process of the test, on the clock of a synctest bubble.
+type simulatedDiscovery struct {
+	waits         bool // a watch waits for a change; if false, it is answered as soon as it has been read
+	snapshotFirst bool // a response has the list of the time before the response time; if false, of the time after it
+	trickles      bool // a body is written in pieces during the response time
+	// respond returns the response time of a call, by its number, and whether the call gets a response.
+	respond func(call int) (responseTime time.Duration, answered bool)
+
+	mu         sync.Mutex
+	generation int64
+	changed    chan struct{} // closed at the next change
+	callCount  int
+	openCalls  int
+	mostCalls  int // highest value of openCalls
+}
+
+func newSimulatedDiscovery() *simulatedDiscovery {
+	return &simulatedDiscovery{
+		waits:      true,
+		generation: 1,
+		changed:    make(chan struct{}),
+	}
+}
+
+// change makes a new generation and returns it.
+func (d *simulatedDiscovery) change() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.generation++
+	close(d.changed)
+	d.changed = make(chan struct{})
+	return d.generation
+}
+
+// dial is a dialFunc.
+func (d *simulatedDiscovery) dial(context.Context, string, string) (net.Conn, error) {
+	client, server := net.Pipe()
+	go d.serve(server)
+	return client, nil
+}
+
+// serve answers the calls on a connection until it is closed.
+func (d *simulatedDiscovery) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		number := d.beginCall()
+		disconnected := make(chan struct{})
+		go func() {
+			defer close(disconnected)
+			reader.Peek(1)
+		}()
+		if d.answer(conn, req, number, disconnected) {
+			// The client may not send its next request before it has read the response, so Peek waits for that request.
+			d.endCall()
+			<-disconnected
+			continue
+		}
+		<-disconnected
+		d.endCall()
+		return
+	}
+}
+
+func (d *simulatedDiscovery) beginCall() (number int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.callCount++
+	d.openCalls++
+	d.mostCalls = max(d.mostCalls, d.openCalls)
+	return d.callCount
+}
+
+// callsAtOnce returns the largest number of calls that were open at once.
+func (d *simulatedDiscovery) callsAtOnce() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.mostCalls
+}
+
+func (d *simulatedDiscovery) endCall() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.openCalls--
+}
+
+// list returns the body of the response to a call with the given generation, 0 for the full list.
+func (d *simulatedDiscovery) list(since int64) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	entries := ""
+	if since < d.generation {
+		entries = `{"instanceId": "s-1", "lifecycle": "Ready"}`
+	}
+	return fmt.Sprintf(`{"generation": %d, "reset": %t, "instances": [%s]}`, d.generation, since == 0, entries)
+}
+
+// answer answers a call. It returns false if the call gets no response.
+func (d *simulatedDiscovery) answer(conn net.Conn, req *http.Request, number int, disconnected <-chan struct{}) bool {
+	responseTime, answered := d.respond(number)
+	if !answered {
+		return false
+	}
+	since, _ := strconv.ParseInt(req.URL.Query().Get("since"), 10, 64)
+	millis, _ := strconv.ParseInt(req.URL.Query().Get("timeout_ms"), 10, 64)
+	d.mu.Lock()
+	changed, waits := d.changed, d.waits && since == d.generation
+	d.mu.Unlock()
+	if waits {
+		select {
+		case <-changed:
+		case <-disconnected:
+			return false
+		case <-time.After(time.Duration(millis) * time.Millisecond):
+		}
+	}
+	body := d.list(since)
+	if d.trickles {
+		return writeSlowly(conn, body, responseTime)
+	}
+	select {
+	case <-disconnected:
+		return false
+	case <-time.After(responseTime):
+	}
+	if !d.snapshotFirst {
+		body = d.list(since)
+	}
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	return err == nil
+}
+
+// writeSlowly writes a response in pieces during the given time. It returns false if the client has disconnected.
+func writeSlowly(conn net.Conn, body string, duration time.Duration) bool {
+	const pieces = 10
+	if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"); err != nil {
+		return false
+	}
+	for i := range pieces {
+		time.Sleep(duration / pieces)
+		piece := body[len(body)*i/pieces : len(body)*(i+1)/pieces]
+		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(piece), piece); err != nil {
+			return false
+		}
+	}
+	_, err := io.WriteString(conn, "0\r\n\r\n")
+	return err == nil
+}
+
+// changeLog records when discovery had a generation and when the watcher received it.
+type changeLog struct {
+	mu       sync.Mutex
+	made     map[int64]time.Time
+	received map[int64]time.Time
+	latest   int64 // highest generation received
+}
+
+func newChangeLog() *changeLog {
+	return &changeLog{made: map[int64]time.Time{}, received: map[int64]time.Time{}}
+}
+
+// onList records a list of the watcher.
+func (l *changeLog) onList(list EndpointList) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for generation := l.latest + 1; generation <= list.Generation; generation++ {
+		l.received[generation] = time.Now()
+	}
+	l.latest = max(l.latest, list.Generation)
+}
+
+// change makes a change and records its time.
+func (l *changeLog) change(d *simulatedDiscovery) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.made[d.change()] = time.Now()
+}
+
+// longestDelay returns the longest time from a change to its arrival. A change that has not arrived counts as if it
+// arrived now.
+func (l *changeLog) longestDelay() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	longest := time.Duration(0)
+	for generation, madeAt := range l.made {
+		receivedAt, received := l.received[generation]
+		if !received {
+			receivedAt = time.Now()
+		}
+		longest = max(longest, receivedAt.Sub(madeAt))
+	}
+	return longest
+}
+
+// runSimulated runs a watcher of the simulated discovery for the given time of a synctest bubble. Changes come at
+// intervals that move through all phases of a poll.
+func runSimulated(d *simulatedDiscovery, grace, duration time.Duration) (longestDelay time.Duration) {
+	const changeInterval = 3370 * time.Millisecond
+	changes := newChangeLog()
+	watcher := newDiscoveryWatcher("discovery:80", grace, true, changes.onList)
+	watcher.dial = d.dial
+	watcher.log = slog.New(slog.DiscardHandler)
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { watcher.run(ctx) })
+	for elapsed := changeInterval; elapsed <= duration-maxChangeDelay; elapsed += changeInterval {
+		time.Sleep(changeInterval)
+		changes.change(d)
+	}
+	time.Sleep(changeInterval + maxChangeDelay)
+	longestDelay = changes.longestDelay()
+	cancel()
+	running.Wait()
+	time.Sleep(2 * slowResponseTime) // the goroutines of the discovery service end
+	return longestDelay
+}
+
+// quickResponse is the response time of a quick discovery service. It is not 0, because a service that doesn't wait for
+// changes is polled without pause.
+const quickResponse = 50 * time.Millisecond
+
+// simulatedPaces are the response times of discovery by the number of the call. The longest is slowResponseTime.
+func simulatedPaces() map[string]func(call int) (time.Duration, bool) {
+	paces := map[string]func(call int) (time.Duration, bool){
+		"one of three": func(call int) (time.Duration, bool) {
+			if call%3 == 0 {
+				return slowResponseTime, true
+			}
+			return quickResponse, true
+		},
+		"rising": func(call int) (time.Duration, bool) {
+			return min(time.Duration(call)*100*time.Millisecond, slowResponseTime), true
+		},
+		"falling": func(call int) (time.Duration, bool) {
+			return max(slowResponseTime-time.Duration(call)*100*time.Millisecond, quickResponse), true
+		},
+		"quick, one of four silent": func(call int) (time.Duration, bool) { return quickResponse, call%4 != 0 },
+		"slow, one of four silent":  func(call int) (time.Duration, bool) { return slowResponseTime, call%4 != 0 },
+	}
+	for responseTime := time.Duration(0); responseTime <= slowResponseTime; responseTime += 400 * time.Millisecond {
+		paces[responseTime.String()] = func(int) (time.Duration, bool) { return max(responseTime, quickResponse), true }
+	}
+	return paces
+}
+
+// Whatever the pace of discovery up to slowResponseTime, and whether single calls get no response, a change arrives
+// within maxChangeDelay. With a longer drain grace, it arrives within that time and the grace if calls get no response.
+func TestChangeArrivesAtEachPaceOfDiscovery(t *testing.T) {
+	t.Parallel()
+	for name, respond := range simulatedPaces() {
+		for _, grace := range []time.Duration{800 * time.Millisecond, 2 * time.Second, time.Minute} {
+			for variant := range 8 {
+				waits, snapshotFirst, trickles := variant&1 != 0, variant&2 != 0, variant&4 != 0
+				synctest.Test(t, func(t *testing.T) {
+					d := newSimulatedDiscovery()
+					d.respond, d.waits, d.snapshotFirst, d.trickles = respond, waits, snapshotFirst, trickles
+					bound := maxChangeDelay
+					if _, answered := respond(4); !answered && grace > 2500*time.Millisecond {
+						bound += grace
+					}
+					if longest := runSimulated(d, grace, 45*time.Second); longest > bound {
+						t.Errorf("pace %s, grace %v, waits %t, snapshot first %t, trickles %t: a change arrived after %v",
+							name, grace, waits, snapshotFirst, trickles, longest)
+					}
+					if most, allowed := d.callsAtOnce(), newPollTimeouts(grace).maxCalls(); most > allowed {
+						t.Errorf("pace %s, grace %v: %d calls at once, at most %d are allowed", name, grace, most, allowed)
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/gateway/discovery_test.go
+++ b/internal/gateway/discovery_test.go
@@ -61,8 +61,8 @@
 // several times in a row. Otherwise the gateway would miss drains and send requests to backends that have drained.
 func TestSilentWatchIsReplacedWithinDrainGrace(t *testing.T) {
 	for _, grace := range []time.Duration{time.Second, 2 * time.Second, 5 * time.Second} {
-		if total := newPollTimeouts(grace).watchTimeout() + watchRetryDelay; total > grace*9/10 {
-			t.Errorf("a watch takes %v of a drain grace of %v", total, grace)
+		if interval := newPollTimeouts(grace).watchInterval(responsePace{}); interval > grace*9/10 {
+			t.Errorf("the next watch begins after %v of a drain grace of %v", interval, grace)
 		}
 	}
 	discovery := newPeer(t)
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -23,12 +23,7 @@
 	if s.counter != nil && next.Settings.HasCounter {
 		s.counter.setAddress(next.Counter)
 	}
-	if next.Discovery != s.discoveryAddress {
-		// The new discovery service may not know the list generations of the old service, so the new watch starts with
-		// a full list. Until the full list arrives, the old list stays in use.
-		s.stopWatch()
-		s.watchDiscovery(next.Discovery, true)
-	}
+	s.discovery.setAddress(next.Discovery)
 	s.log.Info("reloaded the addresses of discovery and counter", "discovery", next.Discovery,
 		"counter", next.Counter, "rest_needs_restart", s.config.needsRestart(&next))
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -34,6 +34,7 @@
 	frontend          *frontend
 	pools             *connectionPools
 	counter           *counterClient // nil if the deployment has no counter
+	discovery         *discoveryWatcher
 	clientConnections *clientConnections
 	httpServer        *http.Server
 	serveErr          chan error // receives the error with which the HTTP server stops accepting
@@ -42,9 +43,7 @@
 	stopComponents    context.CancelFunc
 	components        sync.WaitGroup
 
-	cachedListTimer  *time.Timer
-	discoveryAddress string // address of the discovery service that is being watched
-	stopWatch        func() // ends the watch and waits for its goroutine
+	cachedListTimer *time.Timer
 }
 
 // newServer creates and connects the components of a gateway. The method serve runs them, and closes the listener.
@@ -65,6 +64,10 @@
 	engineConfig.Settings.MaxCustomers = limits.customers
 	loop := newEventLoop(&engineConfig, s.pools, s.counter, func() { s.markReady("discovery") })
 	s.frontend.loop = loop
+	s.discovery = newDiscoveryWatcher(config.Discovery, toDuration(config.DrainGrace), config.hasCachedList(),
+		loop.postEndpointList)
+	s.discovery.log = s.log
+	s.discovery.metrics = &loop.metrics
 	s.componentsContext, s.stopComponents = context.WithCancel(context.Background())
 
 	s.clientConnections = newClientConnections(listener, limits.clientConns)
@@ -99,8 +102,8 @@
 	if s.counter != nil {
 		s.components.Go(func() { s.counter.run(s.componentsContext) })
 	}
-	hasCachedList := len(s.config.CachedEndpoints.Entries) > 0
-	s.watchDiscovery(s.config.Discovery, hasCachedList)
+	s.components.Go(func() { s.discovery.run(s.componentsContext) })
+	hasCachedList := s.config.hasCachedList()
 	s.cachedListTimer = time.AfterFunc(cachedListDelay, func() {
 		if hasCachedList {
 			s.markReady("cached")
@@ -146,22 +149,3 @@
 		s.log.Info("ready", "list", source)
 	}
 }
-
-// watchDiscovery starts to watch the discovery service at an address. The argument listInUse reports whether the
-// gateway already routes requests by an endpoint list.
-func (s *server) watchDiscovery(address string, listInUse bool) {
-	ctx, cancel := context.WithCancel(s.componentsContext)
-	ended := make(chan struct{})
-	watcher := newDiscoveryWatcher(address, toDuration(s.config.DrainGrace), listInUse, s.frontend.loop.postEndpointList)
-	watcher.log = s.log
-	watcher.metrics = &s.frontend.loop.metrics
-	s.components.Go(func() {
-		defer close(ended)
-		watcher.run(ctx)
-	})
-	s.discoveryAddress = address
-	s.stopWatch = func() {
-		cancel()
-		<-ended
-	}
-}
