Hear the old address of discovery until the new one answers

Each new address ended the call that was out, with its answer on the way, and forgot how long answers take. The calls to the new address lasted no longer than those before, so no answer was heard while new addresses came faster than answers.

Change: a call to the old address goes on for 2 s after the move, or until a list has come from a newer address. It counts among the calls that may be open. Only calls to the new address are begun, and a list of an older address never follows that of a newer one. What is known of the pace outlives the move.

TestOldAddressIsHeardUntilNewOneAnswers plays the order over sockets.

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -26,7 +26,9 @@
 // never come. Therefore the watcher gives up no call for that, but begins a further one, on another connection, at the
 // intervals of pollTimeouts. The first response ends the poll and its other calls.
 //
-// When discovery moves to another address, the first call to the new address asks for the full list.
+// When discovery moves to another address, the first call to the new address asks for the full list. Calls to the
+// earlier address go on for slowResponseTime, or until a list has arrived from the new one: with addresses in quick
+// succession, the response from each would otherwise be lost.
 //
 // The goroutine that calls run owns all fields but moves.
 type discoveryWatcher struct {
@@ -99,7 +101,7 @@
 		case result := <-w.results:
 			w.handleResult(ctx, result)
 		case <-w.nextCall.C:
-			if len(w.calls) > 0 {
+			if w.awaitsResponse() {
 				w.unanswered++
 			}
 			w.beginCall(ctx)
@@ -119,15 +121,20 @@
 
 // move makes the calls that begin from now on go to another address.
 func (w *discoveryWatcher) move(ctx context.Context, address string) {
+	number := 0
 	if w.source != nil {
 		if address == w.source.address {
 			return
 		}
+		number = w.source.number + 1
 		w.source.client.CloseIdleConnections()
-		w.endCalls()
-		w.pace = responsePace{}
+		for _, call := range w.calls {
+			if call.source == w.source {
+				time.AfterFunc(slowResponseTime, call.cancel)
+			}
+		}
 	}
-	w.source = newDiscoverySource(address, w.timeouts.maxCalls(), w.dial)
+	w.source = newDiscoverySource(address, number, w.timeouts.maxCalls(), w.dial)
 	w.canWatch = false // another process may be at the new address, with generations of its own
 	w.beginPoll(ctx)
 }
@@ -172,11 +179,9 @@
 	w.nextCall.Reset(delay)
 }
 
-// endCalls ends all open calls.
-func (w *discoveryWatcher) endCalls() {
-	for len(w.calls) > 0 {
-		w.giveUp(w.calls[0])
-	}
+// awaitsResponse reports whether a call to the newest address is open.
+func (w *discoveryWatcher) awaitsResponse() bool {
+	return slices.ContainsFunc(w.calls, func(c *discoveryCall) bool { return c.source == w.source })
 }
 
 // giveUp ends an open call.
@@ -212,7 +217,9 @@
 		return
 	}
 	w.handleList(result, list)
-	w.beginPoll(ctx)
+	if result.call.source == w.source {
+		w.beginPoll(ctx)
+	}
 }
 
 // decode decodes the body of the response to the call.
@@ -224,22 +231,29 @@
 	return list, err
 }
 
-// handleList ends all other calls, whose responses could be older, and passes a list to onList.
+// handleList passes a list to onList. It ends all other calls to the same address and to earlier ones, whose responses
+// could be older.
 func (w *discoveryWatcher) handleList(result discoveryResult, list EndpointList) {
 	call := result.call
-	w.endCalls()
+	for _, other := range slices.Clone(w.calls) {
+		if other.source.number <= call.source.number {
+			w.giveUp(other)
+		}
+	}
 	if call.isWatch {
 		w.pace.observeWatch(result.elapsed, call.longPoll, list.Reset || len(list.Entries) > 0)
 	} else {
 		w.pace.observeFullList(result.elapsed)
 	}
-	w.generation = list.Generation
-	w.canWatch = w.canWatch || list.Reset
+	if call.source == w.source {
+		w.generation = list.Generation
+		w.canWatch = w.canWatch || list.Reset
+	}
 	w.listInUse = true
 	w.onList(list)
 }
 
-// handleFailure handles the error of a call. After an invalid list, or
+// handleFailure handles the error of a call. A failed call to an earlier address has no effect. After an invalid list, or
 // if nobody listens at the address of discovery, the next call asks for the full list. The next call begins after
 // watchRetryDelay. If other calls are open, the delay doubles with each failure.
 func (w *discoveryWatcher) handleFailure(call *discoveryCall, err error) {
@@ -249,13 +263,16 @@
 		w.metrics.add(discoveryFailed)
 	}
 	w.warn(call, err)
+	if call.source != w.source {
+		return
+	}
 	call.source.client.CloseIdleConnections()
 	var invalidList *invalidListError
 	if errors.As(err, &invalidList) || errors.Is(err, syscall.ECONNREFUSED) {
 		w.canWatch = false // another process may be at the address by the next call, with generations of its own
 	}
 	delay := watchRetryDelay
-	if len(w.calls) > 0 {
+	if w.awaitsResponse() {
 		delay <<= min(w.failures, maxRetryBackoff)
 	}
 	w.failures++
--- a/internal/gateway/discovery_pace_test.go
+++ b/internal/gateway/discovery_pace_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -48,7 +49,8 @@
 	}
 }
 
-// simulatedDiscovery is a discovery service in the process of the test, on the clock of a synctest bubble.
+// simulatedDiscovery is a discovery service in the process of the test, on the clock of a synctest bubble. The state of
+// all addresses is the same.
 type simulatedDiscovery struct {
 	waits         bool // a watch waits for a change; if false, it is answered as soon as it has been read
 	snapshotFirst bool // a response has the list of the time before the response time; if false, of the time after it
@@ -61,7 +63,9 @@
 	changed    chan struct{} // closed at the next change
 	callCount  int
 	openCalls  int
-	mostCalls  int // highest value of openCalls
+	mostCalls  int                 // highest value of openCalls
+	address    string              // address that accepts connections; others refuse them
+	openConns  map[string][]func() // functions that close the connections, by address
 }
 
 func newSimulatedDiscovery() *simulatedDiscovery {
@@ -69,6 +73,8 @@
 		waits:      true,
 		generation: 1,
 		changed:    make(chan struct{}),
+		address:    "discovery-0:80",
+		openConns:  map[string][]func(){},
 	}
 }
 
@@ -82,9 +88,32 @@
 	return d.generation
 }
 
+// move makes another address accept connections, and returns it. Connections to the old address are closed after 1.5 s,
+// as the protocol allows.
+func (d *simulatedDiscovery) move(number int) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.address
+	d.address = fmt.Sprintf("discovery-%d:80", number)
+	time.AfterFunc(1500*time.Millisecond, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		for _, closeConn := range d.openConns[old] {
+			closeConn()
+		}
+	})
+	return d.address
+}
+
 // dial is a dialFunc.
-func (d *simulatedDiscovery) dial(context.Context, string, string) (net.Conn, error) {
+func (d *simulatedDiscovery) dial(_ context.Context, _, address string) (net.Conn, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if address != d.address {
+		return nil, errors.New("connection refused")
+	}
 	client, server := net.Pipe()
+	d.openConns[address] = append(d.openConns[address], func() { server.Close() })
 	go d.serve(server)
 	return client, nil
 }
@@ -247,21 +276,39 @@
 }
 
 // runSimulated runs a watcher of the simulated discovery for the given time of a synctest bubble. Changes come at
-// intervals that move through all phases of a poll.
-func runSimulated(d *simulatedDiscovery, grace, duration time.Duration) (longestDelay time.Duration) {
+// intervals that move through all phases of a poll. meanwhile is called at the given interval, if it is not nil.
+func runSimulated(
+	d *simulatedDiscovery, grace, duration, interval time.Duration, meanwhile func(w *discoveryWatcher, n int),
+) (longestDelay time.Duration) {
 	const changeInterval = 3370 * time.Millisecond
 	changes := newChangeLog()
-	watcher := newDiscoveryWatcher("discovery:80", grace, true, changes.onList)
+	watcher := newDiscoveryWatcher(d.address, grace, true, changes.onList)
 	watcher.dial = d.dial
 	watcher.log = slog.New(slog.DiscardHandler)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { watcher.run(ctx) })
-	for elapsed := changeInterval; elapsed <= duration-maxChangeDelay; elapsed += changeInterval {
-		time.Sleep(changeInterval)
-		changes.change(d)
+	startedAt := time.Now()
+	nextChange, nextCall := changeInterval, interval
+	for n := 1; ; {
+		next := nextChange
+		if meanwhile != nil {
+			next = min(next, nextCall)
+		}
+		if next > duration-maxChangeDelay {
+			break
+		}
+		time.Sleep(time.Until(startedAt.Add(next)))
+		if next == nextChange {
+			changes.change(d)
+			nextChange += changeInterval
+			continue
+		}
+		meanwhile(watcher, n)
+		n++
+		nextCall += interval
 	}
-	time.Sleep(changeInterval + maxChangeDelay)
+	time.Sleep(time.Until(startedAt.Add(duration)))
 	longestDelay = changes.longestDelay()
 	cancel()
 	running.Wait()
@@ -312,7 +359,7 @@
 					if _, answered := respond(4); !answered && grace > 2500*time.Millisecond {
 						bound += grace
 					}
-					if longest := runSimulated(d, grace, 45*time.Second); longest > bound {
+					if longest := runSimulated(d, grace, 45*time.Second, 0, nil); longest > bound {
 						t.Errorf("pace %s, grace %v, waits %t, snapshot first %t, trickles %t: a change arrived after %v",
 							name, grace, waits, snapshotFirst, trickles, longest)
 					}
@@ -324,3 +371,54 @@
 		}
 	}
 }
+
+// New addresses of discovery in quick succession must not keep the list old. Before, each new address ended the call
+// that was out and forgot how long responses take, so that no response was heard while new addresses came (review/9).
+func TestChangeArrivesWhileDiscoveryMoves(t *testing.T) {
+	t.Parallel()
+	for _, interval := range []time.Duration{300 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second} {
+		for _, responseTime := range []time.Duration{quickResponse, 600 * time.Millisecond, 1700 * time.Millisecond} {
+			for _, grace := range []time.Duration{800 * time.Millisecond, 2 * time.Second, time.Minute} {
+				synctest.Test(t, func(t *testing.T) {
+					d := newSimulatedDiscovery()
+					d.respond = func(int) (time.Duration, bool) { return responseTime, true }
+					longest := runSimulated(d, grace, time.Minute, interval, func(w *discoveryWatcher, n int) { w.setAddress(d.move(n)) })
+					if longest > maxChangeDelay {
+						t.Errorf("addresses %v apart, response time %v, grace %v: a change arrived after %v",
+							interval, responseTime, grace, longest)
+					}
+				})
+			}
+		}
+	}
+}
+
+// After discovery has moved, the open call to the old address may still be answered, until the new address has sent a
+// list. A later response of the old address could replace the new list by an older one.
+func TestOldAddressIsHeardUntilNewOneAnswers(t *testing.T) {
+	t.Parallel()
+	oldAddress, newAddress := newPeer(t), newPeer(t)
+	received := make(chan EndpointList, 8)
+	watcher := newDiscoveryWatcher(oldAddress.address(), time.Minute, true, func(l EndpointList) { received <- l })
+	runWatcher(t, watcher)
+	oldConn, oldReader := oldAddress.acceptRequest(t)
+	writeResponse(oldConn, http.StatusOK, emptyEndpointList)
+	await(t, received, "list of the old address")
+	readRequest(t, oldReader)
+	watcher.setAddress(newAddress.address())
+	newConn, newReader := newAddress.acceptRequest(t)
+	writeResponse(oldConn, http.StatusOK, `{"generation": 42, "reset": false, "instances": []}`)
+	if list := await(t, received, "changes of the old address"); list.Generation != 42 {
+		t.Errorf("received %+v", list)
+	}
+	writeResponse(newConn, http.StatusOK, `{"generation": 7, "reset": true, "instances": []}`)
+	if list := await(t, received, "list of the new address"); list.Generation != 7 {
+		t.Errorf("received %+v", list)
+	}
+	if req, _ := readRequest(t, newReader); req.URL.RawQuery != "since=7&timeout_ms=2800" {
+		t.Errorf("watch with query %q", req.URL.RawQuery)
+	}
+	if _, err := oldReader.ReadByte(); err != io.EOF {
+		t.Errorf("the connection to the old address: %v", err)
+	}
+}
--- a/internal/gateway/discoverycall.go
+++ b/internal/gateway/discoverycall.go
@@ -51,13 +51,15 @@
 // discoverySource is one address of discovery with the connections to it.
 type discoverySource struct {
 	address string
+	number  int // position in the sequence of addresses that the watcher has been given
 	client  *http.Client
 }
 
 // newDiscoverySource returns a source whose calls open connections with dial, at most maxConns at a time.
-func newDiscoverySource(address string, maxConns int, dial dialFunc) *discoverySource {
+func newDiscoverySource(address string, number, maxConns int, dial dialFunc) *discoverySource {
 	return &discoverySource{
 		address: address,
+		number:  number,
 		client: &http.Client{Transport: &http.Transport{
 			DialContext:            dialWithCall(dial),
 			DisableCompression:     true,
