Hear a counter whose answers take longer than a second

Seen by callers: answers of the counter take 1.3 s. A request within its customer's quota waits for 10 s and more and gets 429, though nobody else uses the quota. With 0.8 s it is served after 0.8 s.

The counter had added the units of each call, and no gateway heard the total, so the quota ran out. PROTOCOL: "The counter puts no time-out on its callers: an answer comes once the call has had its turn, however late that is."

Change: a connection waits for an answer for 10 s (counterResponseTimeout). A dead one has to be left sooner: below maxConnsPerStream a stream opens another as before, and at that number it now closes the second oldest connection, once the newest has been silent for 1 s. So a new one is opened as soon as before after an outage, the oldest is there for slow answers, and the counter still holds 32 connections at most.

--- a/internal/gateway/counterconn.go
+++ b/internal/gateway/counterconn.go
@@ -17,8 +17,9 @@
 
 const (
 	countPath               = "/v1/count/"
-	counterIOTimeout        = 1 * time.Second // timeout of a write, and minimum of counterConn.responseTimeout
-	maxCounterResponseBytes = 4 << 10         // bytes; maximum size of a response, with its headers
+	counterIOTimeout        = 1 * time.Second  // timeout of a write, and time after which a stream replaces a silent connection
+	counterResponseTimeout  = 10 * time.Second // minimum of counterConn.responseTimeout
+	maxCounterResponseBytes = 4 << 10          // bytes; maximum size of a response, with its headers
 )
 
 // countRequest is passed to http.ReadResponse as the request of every call. The method POST means that the response may
@@ -38,7 +39,10 @@
 	pipeline        chan *counterCall           // calls that have been written, in order
 	inFlight        atomic.Int64                // number of calls whose response has not been read
 	headCall        atomic.Pointer[counterCall] // call whose response is being awaited or read; nil if there is none
-	failed          atomic.Bool                 // set after an error: no further call may be written
+	openedAt        time.Time
+	headSince       atomic.Int64 // time from openedAt until headCall was set, in nanoseconds
+	ended           atomic.Bool  // set when the reader has ended
+	failed          atomic.Bool  // set after an error: no further call may be written
 	retireOnce      sync.Once
 }
 
@@ -53,7 +57,8 @@
 	conn := &counterConn{
 		Conn:            netConn,
 		dialedAddress:   address,
-		responseTimeout: max(counterIOTimeout, c.timeout),
+		openedAt:        time.Now(),
+		responseTimeout: max(counterResponseTimeout, c.timeout),
 		idleEstimator:   &c.idleEstimator,
 		openConns:       openConns,
 		pipeline:        make(chan *counterCall, maxQueuedCalls),
@@ -61,6 +66,7 @@
 	openConns.Add(1)
 	c.readers.Go(func() {
 		defer openConns.Add(-1)
+		defer conn.ended.Store(true)
 		conn.readResponses()
 	})
 	return conn, nil
@@ -103,6 +109,13 @@
 	return call != nil && call.abandoned.Load() && c.openConns.Load() < maxConnsPerStream
 }
 
+// isSilent reports whether the call whose response comes next has been abandoned, and no response has been read for
+// counterIOTimeout.
+func (c *counterConn) isSilent() bool {
+	call := c.headCall.Load()
+	return call != nil && call.abandoned.Load() && time.Since(c.openedAt)-time.Duration(c.headSince.Load()) > counterIOTimeout
+}
+
 // writeCall writes a call and adds it to the pipeline, so that the reader expects its response. If the pipeline is
 // full, the connection is stuck, and the call is not written. A call that is not completely written ends as
 // policy.ConnectFailed.
@@ -136,6 +149,7 @@
 			call.report(call, policy.ConnectionReset, 0)
 			continue
 		}
+		c.headSince.Store(int64(time.Since(c.openedAt)))
 		c.headCall.Store(call)
 		limited.N = maxCounterResponseBytes
 		outcome, total, err := c.readResponse(reader, call)
--- a/internal/gateway/counterstream.go
+++ b/internal/gateway/counterstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -18,9 +19,10 @@
 // when its calls in flight have ended. The goroutine of runStream owns all fields except openConns.
 type counterStream struct {
 	client    *counterClient
-	conn      *counterConn // connection in use; if nil, the next call dials a new connection
-	lastUsed  time.Time    // time at which the last call was written
-	openConns atomic.Int64 // number of the stream's connections, including retired connections that are not closed yet
+	conn      *counterConn   // connection in use; if nil, the next call dials a new connection
+	retired   []*counterConn // retired connections, oldest first; some may have ended by now (see forgetEnded)
+	lastUsed  time.Time      // time at which the last call was written
+	openConns atomic.Int64   // number of the stream's connections, including retired connections that are not closed yet
 }
 
 // send writes a call, on a new connection if the current connection can't be used. If the call is abandoned or can't be
@@ -34,6 +36,9 @@
 	if s.conn != nil && (s.addressChanged() || !s.conn.reusable(idleFor) || s.conn.headOfLineBlocked()) {
 		s.retire()
 	}
+	if s.conn != nil && s.conn.isSilent() {
+		s.closeSecondOldest()
+	}
 	if s.conn != nil && s.conn.inFlight.Load() == 0 {
 		call.idleFor = idleFor
 	}
@@ -65,9 +70,26 @@
 // retire retires the connection in use. The next call dials a new connection.
 func (s *counterStream) retire() {
 	s.conn.retire()
+	s.forgetEnded()
+	s.retired = append(s.retired, s.conn)
 	s.conn = nil
 }
 
+// forgetEnded removes the retired connections that have ended.
+func (s *counterStream) forgetEnded() {
+	s.retired = slices.DeleteFunc(s.retired, func(c *counterConn) bool { return c.ended.Load() })
+}
+
+// closeSecondOldest closes the second oldest connection if the stream has maxConnsPerStream open connections. The next
+// call can then open a new one, which works again after an outage. The oldest connection stays open for
+// counterResponseTimeout: if the counter is not silent but slow, that connection is the first to bring its response.
+func (s *counterStream) closeSecondOldest() {
+	s.forgetEnded()
+	if len(s.retired) >= maxConnsPerStream-1 {
+		s.retired[1].Close()
+	}
+}
+
 // close closes the connection in use at once. It does nothing if there is no connection in use.
 func (s *counterStream) close() {
 	if s.conn != nil {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -217,8 +217,13 @@
 // customers. The quota has a rate in units per second and a burst in units. The argument timeout is the time limit of a
 // call to the counter. If the burst is small, a customer's first request needs a call to the counter.
 func withCounter(counter *peer, rate, burst float64, timeout time.Duration) func(string) string {
+	return withCounterAt(counter.address(), rate, burst, timeout)
+}
+
+// withCounterAt does the same as withCounter, for a counter at the given address.
+func withCounterAt(address string, rate, burst float64, timeout time.Duration) func(string) string {
 	return strings.NewReplacer(
-		`"127.0.0.1:1"`, `"`+counter.address()+`"`,
+		`"127.0.0.1:1"`, `"`+address+`"`,
 		`"pays": 1}`, fmt.Sprintf(`"pays": 1, "unitsPerS": %g, "depth": %g}`, rate, burst),
 		`"mostUnits": 4`, fmt.Sprintf(`"mostUnits": 4, "hasCounter": true, "counterTimeoutS": %g`, timeout.Seconds()),
 	).Replace
