Turn away a list over 4 MiB also where its end comes with its last bytes

Since calls to discovery go on, a body without a stated length was checked for its end before its length. One byte more than maxListBytes was accepted where the end of the body came in the same read.

--- a/internal/gateway/discoverycall.go
+++ b/internal/gateway/discoverycall.go
@@ -178,12 +178,12 @@
 		n, err := r.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		switch {
+		case len(body) > maxListBytes:
+			return nil, &invalidListError{cause: errListTooLong}
 		case errors.Is(err, io.EOF):
 			return body, nil
 		case err != nil:
 			return nil, err
-		case len(body) > maxListBytes:
-			return nil, &invalidListError{cause: errListTooLong}
 		case len(body) == cap(body):
 			if body, err = growListBody(body, memory); err != nil {
 				return nil, err
