Soak: play a discovery service whose responses are slow

In one seed of three, responses of discovery now take 0.3 to 2 s from 1.5 s on, every one or one of three, and one backend drains to the end of the run. Gateways count as notified of a change after 6 s then. The rest of each seed's plan is as before.

Check's tests have a drain on both sides of the line.

--- a/cmd/fleetlab/soak.go
+++ b/cmd/fleetlab/soak.go
@@ -132,6 +132,9 @@
 	longestDeadline := soak.KillAfter(plan.Classes) - soak.KillDelay
 	fmt.Fprintf(stdout, "seed %d: %d gateways, %d stops, longest deadline %v, %d idle connections, %d bad clients: ",
 		plan.Seed, plan.Gateways, len(plan.Stops), longestDeadline, plan.IdleConns, plan.BadClients)
+	if slow := plan.SlowDiscovery; slow != (soak.SlowDiscovery{}) {
+		fmt.Fprintf(stdout, "one of %d responses of discovery takes %v: ", slow.Interval, slow.ResponseTime)
+	}
 	printCrowds(stdout, result)
 	fmt.Fprintf(stdout, "%d served, %d rejected, %d failed, %d disconnected, %d incomplete, ",
 		verdict.Served, verdict.Rejected, verdict.Failed, verdict.Disconnected, verdict.Incomplete)
--- a/internal/lab/discovery/handler.go
+++ b/internal/lab/discovery/handler.go
@@ -7,6 +7,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"amberlb/internal/lab/ctxtime"
 )
 
 const (
@@ -29,6 +31,9 @@
 	if err != nil {
 		return // the client has disconnected, or the server is closing
 	}
+	if s.responseTime != nil && !ctxtime.Sleep(request.Context(), s.responseTime()) {
+		return // the client has disconnected, or the server is closing
+	}
 	s.countList(encoded)
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(encoded.body)))
--- a/internal/lab/discovery/server.go
+++ b/internal/lab/discovery/server.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"amberlb/internal/gateway"
 	"amberlb/internal/lab/netstats"
@@ -18,6 +19,10 @@
 // Options configure the server.
 type Options struct {
 	FullListsPerSecond float64 // rate of full lists for all clients together; requests above the rate wait; 0: no limit
+
+	// ResponseTime returns the time that the response to the next call takes, not counting the time that a watch waits
+	// for a change. It may be called concurrently. Nil: responses take no time.
+	ResponseTime func() time.Duration
 }
 
 // Stats holds the counts since the start of the server. Calls are requests for the list.
@@ -31,7 +36,8 @@
 
 // Server is the stand-in for the discovery service. Its methods may be called concurrently.
 type Server struct {
-	fullListLimiter *rateLimiter // nil: no limit
+	fullListLimiter *rateLimiter         // nil: no limit
+	responseTime    func() time.Duration // Options.ResponseTime
 
 	mu      sync.Mutex
 	list    *list
@@ -49,7 +55,11 @@
 
 // New creates a server whose list has generation 1 and contains instances.
 func New(instances []gateway.EndpointEntry, options Options) *Server {
-	s := &Server{list: newList(instances), changed: make(chan struct{})}
+	s := &Server{
+		list:         newList(instances),
+		changed:      make(chan struct{}),
+		responseTime: options.ResponseTime,
+	}
 	if options.FullListsPerSecond > 0 {
 		s.fullListLimiter = newRateLimiter(options.FullListsPerSecond)
 	}
--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -60,6 +60,7 @@
 	process         Process // the test sets the fields Gateway and Number
 	listChanges     []ListChange
 	outages         []Outage
+	slowDiscovery   bool
 	incomplete      []IncompleteRequest
 	memoryLimit     int64
 }
@@ -175,6 +176,21 @@
 		listChanges:     []ListChange{{Backend: "b", At: time.Second}},
 		outages:         []Outage{{0, 2 * time.Second}},
 	},
+	"drained long ago, with a slow discovery": {
+		violated:        SentToDrained,
+		clientAttempt:   servedAttempt,
+		change:          nineSecondsIn,
+		backendAttempts: []BackendAttempt{attemptAt(9*time.Second, 9*time.Second, 900*ms)},
+		listChanges:     []ListChange{{Backend: "b", At: 900 * ms}},
+		slowDiscovery:   true,
+	},
+	"drained just now, with a slow discovery": {
+		clientAttempt:   servedAttempt,
+		change:          nineSecondsIn,
+		backendAttempts: []BackendAttempt{attemptAt(9*time.Second, 9*time.Second, 900*ms)},
+		listChanges:     []ListChange{{Backend: "b", At: 1100 * ms}},
+		slowDiscovery:   true,
+	},
 	"SIGKILL with no SIGTERM before": {
 		clientAttempt:   unansweredAttempt,
 		backendAttempts: []BackendAttempt{attemptAt(110*ms, 150*ms, 900*ms)},
@@ -237,6 +253,7 @@
 				Processes:       []Process{c.process},
 				ListChanges:     c.listChanges,
 				Outages:         c.outages,
+				SlowDiscovery:   c.slowDiscovery,
 
 				IncompleteRequests: c.incomplete,
 				MemoryLimit:        c.memoryLimit,
--- a/internal/lab/soak/history.go
+++ b/internal/lab/soak/history.go
@@ -9,6 +9,7 @@
 	Processes       []Process
 	ListChanges     []ListChange // sorted by time
 	Outages         []Outage     // outages of discovery
+	SlowDiscovery   bool         // some responses of discovery were slow
 
 	IncompleteRequests []IncompleteRequest
 	HostileExchanges   []HostileExchange
@@ -47,7 +48,7 @@
 
 const (
 	watchDelay     = 300 * time.Millisecond // longest time from a change until an open watch has notified the gateways
-	maxNotifyDelay = 6 * time.Second        // longest time from the end of an outage until gateways are notified
+	maxNotifyDelay = 6 * time.Second        // longest time from a change, or the end of an outage, until gateways are notified
 )
 
 // removalNotifiedAt returns the time by which gateways must have been notified that a backend is out of service
@@ -70,6 +71,9 @@
 // notifiedAt returns the time by which gateways must have been notified of a change.
 func (h *History) notifiedAt(change ListChange) time.Duration {
 	at := change.At + watchDelay
+	if h.SlowDiscovery {
+		at = change.At + maxNotifyDelay
+	}
 	for _, outage := range h.Outages {
 		// A watch that was open during the outage delivers no change, even after the outage, and gateways take up to
 		// maxNotifyDelay to open a new watch.
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -29,6 +29,14 @@
 	Stops             []Stop        // sorted by time
 	Drains            []Drain       // sorted by time
 	Outages           []Outage      // outages of discovery, sorted by time
+	SlowDiscovery     SlowDiscovery
+}
+
+// SlowDiscovery makes responses of discovery slow. The zero value makes none slow.
+type SlowDiscovery struct {
+	From         time.Duration // time at which discovery becomes slow
+	ResponseTime time.Duration // time that a slow response takes, not counting the wait of a watch
+	Interval     int           // every Interval-th response is slow; 1: every response
 }
 
 // Drain takes a backend out of service and brings it back. The backend keeps responding to requests all the time.
@@ -83,6 +91,9 @@
 	minOutOfRotationDelay = 200 * time.Millisecond
 	maxOutOfRotationDelay = 400 * time.Millisecond
 	maxOutage             = 3 * time.Second
+	minSlowResponse       = 300 * time.Millisecond
+	maxSlowResponse       = 2 * time.Second // longest response with which changes still arrive within maxNotifyDelay
+	slowDiscoveryStream   = 2               // number of the random number generator of addSlowDiscovery
 
 	lowDescriptorLimit     = 192 // DescriptorLimit and IdleConns of some plans; idle connections use up the descriptors
 	defaultDescriptorLimit = 1024
@@ -120,9 +131,31 @@
 		p.MemoryMB = lowMemoryMB
 		p.BadClients = lowMemoryMB * 4 // the requests of a fifth of them fit in the memory for requests
 	}
+	p.addSlowDiscovery()
 	return p
 }
 
+// addSlowDiscovery makes discovery slow in one plan of three. In such a plan, one backend drains to the end of the run,
+// since gateways may take maxNotifyDelay and drainGrace to stop sending to it. The function has a random number
+// generator of its own, so that the rest of the plan is the same as without it.
+func (p *Plan) addSlowDiscovery() {
+	rng := rand.New(rand.NewPCG(p.Seed, slowDiscoveryStream))
+	if rng.IntN(3) != 0 {
+		return
+	}
+	p.SlowDiscovery = SlowDiscovery{
+		From:         earliestFault,
+		ResponseTime: randomDuration(rng, minSlowResponse, maxSlowResponse),
+		Interval:     1 + 2*rng.IntN(2),
+	}
+	p.Drains = []Drain{{
+		Backend:   rng.IntN(p.Backends),
+		DrainAt:   earliestFault + maxSlowResponse,
+		RemovedAt: p.Duration,
+		ReadyAt:   p.Duration,
+	}}
+}
+
 // newClasses generates one class of each kind of idempotency. The non-idempotent class has the longest deadline, and the
 // other classes may have it too.
 func newClasses(rng *rand.Rand, longestDeadline time.Duration) []Class {
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -118,6 +118,7 @@
 		Processes:          r.processes,
 		ListChanges:        r.listChanges,
 		Outages:            r.plan.Outages,
+		SlowDiscovery:      r.plan.SlowDiscovery != SlowDiscovery{},
 		IncompleteRequests: r.incompleteRequests,
 		HostileExchanges:   r.hostileExchanges,
 	}
--- a/internal/lab/soak/standins.go
+++ b/internal/lab/soak/standins.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"amberlb/internal/gateway"
@@ -35,7 +36,7 @@
 			return err
 		}
 	}
-	s.discovery = discovery.New(slices.Clone(s.entries), discovery.Options{})
+	s.discovery = discovery.New(slices.Clone(s.entries), discovery.Options{ResponseTime: plan.SlowDiscovery.newResponseTime(clock)})
 	// Discovery is started without ctx's cancellation, since gateways still need discovery while they are stopped at the
 	// end of the run.
 	address, err := s.discovery.Start(context.WithoutCancel(ctx))
@@ -46,6 +47,20 @@
 	return err
 }
 
+// newResponseTime returns a function that gives the response time of the next response of discovery.
+func (s SlowDiscovery) newResponseTime(clock Clock) func() time.Duration {
+	if s.Interval == 0 {
+		return nil
+	}
+	var responses atomic.Int64
+	return func() time.Duration {
+		if clock.Now() >= s.From && responses.Add(1)%int64(s.Interval) == 0 {
+			return s.ResponseTime
+		}
+		return 0
+	}
+}
+
 // startBackend starts a backend, and its proxy if there are network faults, and adds its entry to entries.
 func (s *standins) startBackend(number int, plan Plan, clock Clock) error {
 	b, err := StartBackend(fmt.Sprintf("b-%d", number), clock, newBehavior(plan, number))
