--- a/internal/gateway/discovery_drain_test.go
+++ b/internal/gateway/discovery_drain_test.go
@@ -85,9 +85,7 @@
 			received := make(chan EndpointList, 8)
 			runWatcher(t, newDiscoveryWatcher(discovery.address(), 800*time.Millisecond, false,
 				func(list EndpointList) { received <- list }))
-			conn, reader := discovery.accept(t)
-			readRequest(t, reader)
-			writeResponse(conn, http.StatusOK, `{"generation": 41, "reset": true, "instances": []}`)
+			conn, reader := sendFirstList(t, discovery)
 			await(t, received, "list")
 			var sentAt time.Time
 			for range 4 { // the first poll is a watch; after an invalid response the next poll asks for the full list
@@ -121,7 +119,7 @@
 	sentAt := time.Now()
 	conn, reader := discovery.accept(t)
 	readRequest(t, reader)
-	writeResponse(conn, http.StatusOK, `{"generation": 41, "reset": true, "instances": []}`)
+	writeResponse(conn, http.StatusOK, emptyEndpointList)
 	await(t, received, "list")
 	if elapsed := time.Since(sentAt); elapsed > maxChangeDelay {
 		t.Errorf("list received %v after a dial hung", elapsed)
@@ -157,7 +155,7 @@
 	}
 	defer conn.Close()
 	readRequest(t, bufio.NewReader(conn))
-	writeResponse(conn, http.StatusOK, `{"generation": 41, "reset": true, "instances": []}`)
+	writeResponse(conn, http.StatusOK, emptyEndpointList)
 	await(t, received, "list")
 	if elapsed := time.Since(sentAt); elapsed > maxChangeDelay {
 		t.Errorf("list received %v after dials were refused", elapsed)
@@ -176,7 +174,7 @@
 			t.Parallel()
 			slowDiscovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 				const chunks = 10
-				for i, text := 0, `{"generation": 41, "reset": true, "instances": []}`; i < chunks; i++ {
+				for i, text := 0, emptyEndpointList; i < chunks; i++ {
 					select {
 					case <-req.Context().Done():
 						return
--- a/internal/gateway/discovery_pace_test.go
+++ b/internal/gateway/discovery_pace_test.go
@@ -58,14 +58,14 @@
 	// respond returns the response time of a call, by its number, and whether the call gets a response.
 	respond func(call int) (responseTime time.Duration, answered bool)
 
-	mu         sync.Mutex
-	generation int64
-	changed    chan struct{} // closed at the next change
-	callCount  int
-	openCalls  int
-	mostCalls  int                 // highest value of openCalls
-	address    string              // address that accepts connections; others refuse them
-	openConns  map[string][]func() // functions that close the connections, by address
+	mu          sync.Mutex
+	generation  int64
+	changed     chan struct{} // closed at the next change
+	callCount   int
+	clients     int                 // connections that the gateway has not closed
+	mostClients int                 // highest value of clients
+	address     string              // address that accepts connections; others refuse them
+	openConns   map[string][]func() // functions that close the connections, by address
 }
 
 func newSimulatedDiscovery() *simulatedDiscovery {
@@ -114,8 +114,29 @@
 	}
 	client, server := net.Pipe()
 	d.openConns[address] = append(d.openConns[address], func() { server.Close() })
+	d.clients++
+	d.mostClients = max(d.mostClients, d.clients)
 	go d.serve(server)
-	return client, nil
+	return &countedConn{Conn: client, onClose: sync.OnceFunc(d.countClose)}, nil
+}
+
+// countClose counts a connection that the gateway has closed.
+func (d *simulatedDiscovery) countClose() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.clients--
+}
+
+// countedConn is a connection that reports its close.
+type countedConn struct {
+	net.Conn
+	onClose func()
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.onClose()
+	return c.Conn.Close()
 }
 
 // serve answers the calls on a connection until it is closed.
@@ -133,15 +154,11 @@
 			defer close(disconnected)
 			reader.Peek(1)
 		}()
-		if d.answer(conn, req, number, disconnected) {
-			// The client may not send its next request before it has read the response, so Peek waits for that request.
-			d.endCall()
-			<-disconnected
-			continue
+		answered := d.answer(conn, req, number, disconnected)
+		<-disconnected // or the next request has come
+		if !answered {
+			return
 		}
-		<-disconnected
-		d.endCall()
-		return
 	}
 }
 
@@ -149,22 +166,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.callCount++
-	d.openCalls++
-	d.mostCalls = max(d.mostCalls, d.openCalls)
 	return d.callCount
 }
 
-// callsAtOnce returns the largest number of calls that were open at once.
-func (d *simulatedDiscovery) callsAtOnce() int {
+// counts returns the number of calls, and the largest number of connections that the gateway had at once.
+func (d *simulatedDiscovery) counts() (calls, connections int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.mostCalls
-}
-
-func (d *simulatedDiscovery) endCall() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.openCalls--
+	return d.callCount, d.mostClients
 }
 
 // list returns the body of the response to a call with the given generation, 0 for the full list.
@@ -352,19 +361,20 @@
 		for _, grace := range []time.Duration{800 * time.Millisecond, 2 * time.Second, time.Minute} {
 			for variant := range 8 {
 				waits, snapshotFirst, trickles := variant&1 != 0, variant&2 != 0, variant&4 != 0
-				synctest.Test(t, func(t *testing.T) {
+				bound := maxChangeDelay
+				if _, answered := respond(4); !answered && grace > 2500*time.Millisecond {
+					bound += grace
+				}
+				caseName := fmt.Sprintf("%s, grace %v, waits %t, snapshot first %t, trickles %t",
+					name, grace, waits, snapshotFirst, trickles)
+				runInBubble(t, caseName, func(t *testing.T) {
 					d := newSimulatedDiscovery()
 					d.respond, d.waits, d.snapshotFirst, d.trickles = respond, waits, snapshotFirst, trickles
-					bound := maxChangeDelay
-					if _, answered := respond(4); !answered && grace > 2500*time.Millisecond {
-						bound += grace
-					}
 					if longest := runSimulated(d, grace, 45*time.Second, 0, nil); longest > bound {
-						t.Errorf("pace %s, grace %v, waits %t, snapshot first %t, trickles %t: a change arrived after %v",
-							name, grace, waits, snapshotFirst, trickles, longest)
+						t.Errorf("a change arrived after %v", longest)
 					}
-					if most, allowed := d.callsAtOnce(), newPollTimeouts(grace).maxCalls(); most > allowed {
-						t.Errorf("pace %s, grace %v: %d calls at once, at most %d are allowed", name, grace, most, allowed)
+					if _, most := d.counts(); most > newPollTimeouts(grace).maxCalls() {
+						t.Errorf("%d connections at once", most)
 					}
 				})
 			}
@@ -372,6 +382,33 @@
 	}
 }
 
+// However long discovery is silent, a new call begins within the drain grace of the one before, and the number of open
+// calls stays within its limit.
+func TestSilentDiscoveryIsAskedWithinDrainGrace(t *testing.T) {
+	t.Parallel()
+	for _, grace := range []time.Duration{800 * time.Millisecond, 2 * time.Second, 4 * time.Second} {
+		runInBubble(t, grace.String(), func(t *testing.T) {
+			const duration = time.Minute
+			d := newSimulatedDiscovery()
+			d.respond = func(call int) (time.Duration, bool) { return quickResponse, call == 1 }
+			runSimulated(d, grace, duration, 0, nil)
+			calls, most := d.counts()
+			if wanted := int(duration / (grace * 9 / 10)); calls < wanted {
+				t.Errorf("%d calls in %v, at least %d are wanted", calls, duration, wanted)
+			}
+			if most > newPollTimeouts(grace).maxCalls() {
+				t.Errorf("%d connections at once", most)
+			}
+		})
+	}
+}
+
+// runInBubble runs a test with a made-up clock as a subtest.
+func runInBubble(t *testing.T, name string, test func(t *testing.T)) {
+	t.Helper()
+	t.Run(name, func(t *testing.T) { synctest.Test(t, test) })
+}
+
 // New addresses of discovery in quick succession must not keep the list old. Before, each new address ended the call
 // that was out and forgot how long responses take, so that no response was heard while new addresses came (review/9).
 func TestChangeArrivesWhileDiscoveryMoves(t *testing.T) {
@@ -379,13 +416,13 @@
 	for _, interval := range []time.Duration{300 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second} {
 		for _, responseTime := range []time.Duration{quickResponse, 600 * time.Millisecond, 1700 * time.Millisecond} {
 			for _, grace := range []time.Duration{800 * time.Millisecond, 2 * time.Second, time.Minute} {
-				synctest.Test(t, func(t *testing.T) {
+				name := fmt.Sprintf("%v apart, response time %v, grace %v", interval, responseTime, grace)
+				runInBubble(t, name, func(t *testing.T) {
 					d := newSimulatedDiscovery()
 					d.respond = func(int) (time.Duration, bool) { return responseTime, true }
-					longest := runSimulated(d, grace, time.Minute, interval, func(w *discoveryWatcher, n int) { w.setAddress(d.move(n)) })
-					if longest > maxChangeDelay {
-						t.Errorf("addresses %v apart, response time %v, grace %v: a change arrived after %v",
-							interval, responseTime, grace, longest)
+					move := func(w *discoveryWatcher, n int) { w.setAddress(d.move(n)) }
+					if longest := runSimulated(d, grace, time.Minute, interval, move); longest > maxChangeDelay {
+						t.Errorf("a change arrived after %v", longest)
 					}
 				})
 			}
@@ -401,8 +438,7 @@
 	received := make(chan EndpointList, 8)
 	watcher := newDiscoveryWatcher(oldAddress.address(), time.Minute, true, func(l EndpointList) { received <- l })
 	runWatcher(t, watcher)
-	oldConn, oldReader := oldAddress.acceptRequest(t)
-	writeResponse(oldConn, http.StatusOK, emptyEndpointList)
+	oldConn, oldReader := sendFirstList(t, oldAddress)
 	await(t, received, "list of the old address")
 	readRequest(t, oldReader)
 	watcher.setAddress(newAddress.address())
--- a/internal/gateway/discovery_test.go
+++ b/internal/gateway/discovery_test.go
@@ -49,6 +49,14 @@
 
 func (d *fakeDiscovery) address() string { return d.Listener.Addr().String() }
 
+// sendFirstList accepts a connection to a discovery service, and answers the first call on it with emptyEndpointList.
+func sendFirstList(t *testing.T, discovery *peer) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, reader := discovery.acceptRequest(t)
+	writeResponse(conn, http.StatusOK, emptyEndpointList)
+	return conn, reader
+}
+
 // runWatcher runs a watcher until the test ends.
 func runWatcher(t *testing.T, w *discoveryWatcher) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -67,9 +75,7 @@
 	}
 	discovery := newPeer(t)
 	runWatcher(t, newDiscoveryWatcher(discovery.address(), 800*time.Millisecond, true, func(EndpointList) {}))
-	conn, reader := discovery.accept(t)
-	readRequest(t, reader)
-	writeResponse(conn, http.StatusOK, `{"generation": 41, "reset": true, "instances": []}`)
+	_, reader := sendFirstList(t, discovery)
 	for range 3 { // no watch gets a response
 		if req, _ := readRequest(t, reader); req.URL.RawQuery != "since=41&timeout_ms=400" {
 			t.Errorf("watch with query %q", req.URL.RawQuery)
@@ -84,10 +90,9 @@
 	discovery := newPeer(t)
 	watcher := newDiscoveryWatcher(discovery.address(), 800*time.Millisecond, true, func(EndpointList) {})
 	runWatcher(t, watcher)
-	conn, reader := discovery.acceptRequest(t)
-	writeResponse(conn, http.StatusOK, emptyEndpointList)
+	_, reader := sendFirstList(t, discovery)
 	readRequest(t, reader) // this watch gets no response
-	conn, _ = discovery.acceptRequest(t)
+	conn, _ := discovery.acceptRequest(t)
 	writeResponse(conn, http.StatusInternalServerError, "{}")
 	conn, reader = discovery.acceptRequest(t)
 	writeResponse(conn, http.StatusOK, emptyEndpointList)
@@ -107,9 +112,7 @@
 	address := discovery.address()
 	received := make(chan EndpointList, 8)
 	runWatcher(t, newDiscoveryWatcher(address, 2*time.Second, true, func(l EndpointList) { received <- l }))
-	conn, reader := discovery.accept(t)
-	readRequest(t, reader)
-	writeResponse(conn, http.StatusOK, `{"generation": 41, "reset": true, "instances": []}`)
+	conn, reader := sendFirstList(t, discovery)
 	await(t, received, "list")
 	readRequest(t, reader)
 	writeResponse(conn, http.StatusOK, `{"generation": 3, "reset": false, "instances": []}`)
