--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -25,9 +25,7 @@
 		return nil, errBodyTooLong
 	}
 	if length >= 0 {
-		body := make([]byte, length)
-		_, err := io.ReadFull(r, body)
-		return body, err
+		return readExactly(r, length)
 	}
 	body, err := io.ReadAll(io.LimitReader(r, maxBodyBytes+1))
 	if err == nil && len(body) > maxBodyBytes {
@@ -36,6 +34,14 @@
 	return body, err
 }
 
+// readExactly reads a body of the given length into a buffer of that size. It returns io.ErrUnexpectedEOF or io.EOF for a
+// shorter body.
+func readExactly(r io.Reader, length int64) ([]byte, error) {
+	body := make([]byte, length)
+	_, err := io.ReadFull(r, body)
+	return body, err
+}
+
 // hasDelimitedBody reports whether a Content-Length or chunked encoding marks the end of a response's body. Otherwise
 // the body ends when the connection is closed, and a truncated body looks complete.
 func hasDelimitedBody(resp *http.Response) bool {
--- a/internal/gateway/counterclient.go
+++ b/internal/gateway/counterclient.go
@@ -26,6 +26,10 @@
 	sentAt  float64       // time of the call, in seconds of the loop's clock
 	idleFor time.Duration // idle time of the connection before the call; 0 if it is new or has calls in flight
 
+	// awaitedSince is the time at which the call's response became the next one of its connection. The reader sets it
+	// before it stores the call in counterConn.headCall, through which the stream reads it.
+	awaitedSince time.Time
+
 	// report is called at most once, by the goroutine that owns the call, with the call's outcome. total is 0 unless
 	// the outcome is policy.Served.
 	report func(call *counterCall, outcome policy.Outcome, total float64)
--- a/internal/gateway/counterconn.go
+++ b/internal/gateway/counterconn.go
@@ -17,7 +17,7 @@
 
 const (
 	countPath               = "/v1/count/"
-	counterIOTimeout        = 1 * time.Second  // timeout of a write, and time after which a stream replaces a silent connection
+	counterIOTimeout        = 1 * time.Second  // timeout of a write, and time after which a connection is silent (isSilent)
 	counterResponseTimeout  = 10 * time.Second // minimum of counterConn.responseTimeout
 	maxCounterResponseBytes = 4 << 10          // bytes; maximum size of a response, with its headers
 )
@@ -39,10 +39,8 @@
 	pipeline        chan *counterCall           // calls that have been written, in order
 	inFlight        atomic.Int64                // number of calls whose response has not been read
 	headCall        atomic.Pointer[counterCall] // call whose response is being awaited or read; nil if there is none
-	openedAt        time.Time
-	headSince       atomic.Int64 // time from openedAt until headCall was set, in nanoseconds
-	ended           atomic.Bool  // set when the reader has ended
-	failed          atomic.Bool  // set after an error: no further call may be written
+	ended           atomic.Bool                 // set when the reader has ended
+	failed          atomic.Bool                 // set after an error: no further call may be written
 	retireOnce      sync.Once
 }
 
@@ -57,7 +55,6 @@
 	conn := &counterConn{
 		Conn:            netConn,
 		dialedAddress:   address,
-		openedAt:        time.Now(),
 		responseTimeout: max(counterResponseTimeout, c.timeout),
 		idleEstimator:   &c.idleEstimator,
 		openConns:       openConns,
@@ -105,15 +102,22 @@
 // more connections; maxConnsPerStream is low to limit their number. A late response is still read on the old
 // connection.
 func (c *counterConn) headOfLineBlocked() bool {
-	call := c.headCall.Load()
-	return call != nil && call.abandoned.Load() && c.openConns.Load() < maxConnsPerStream
+	return c.abandonedHead() != nil && c.openConns.Load() < maxConnsPerStream
 }
 
 // isSilent reports whether the call whose response comes next has been abandoned, and no response has been read for
 // counterIOTimeout.
 func (c *counterConn) isSilent() bool {
-	call := c.headCall.Load()
-	return call != nil && call.abandoned.Load() && time.Since(c.openedAt)-time.Duration(c.headSince.Load()) > counterIOTimeout
+	call := c.abandonedHead()
+	return call != nil && time.Since(call.awaitedSince) > counterIOTimeout
+}
+
+// abandonedHead returns the call whose response comes next if it has been abandoned, and nil otherwise.
+func (c *counterConn) abandonedHead() *counterCall {
+	if call := c.headCall.Load(); call != nil && call.abandoned.Load() {
+		return call
+	}
+	return nil
 }
 
 // writeCall writes a call and adds it to the pipeline, so that the reader expects its response. If the pipeline is
@@ -149,7 +153,7 @@
 			call.report(call, policy.ConnectionReset, 0)
 			continue
 		}
-		c.headSince.Store(int64(time.Since(c.openedAt)))
+		call.awaitedSince = time.Now()
 		c.headCall.Store(call)
 		limited.N = maxCounterResponseBytes
 		outcome, total, err := c.readResponse(reader, call)
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -11,10 +11,6 @@
 	"time"
 )
 
-// errOlderGeneration is returned for changes up to a generation before the one in the query: another process of discovery
-// has sent them, which counts from the beginning. What it has told before is not known.
-var errOlderGeneration = errors.New("the changes have an older generation than the list they apply to")
-
 // discoveryWarnInterval is the minimum time between log lines about failed calls.
 const discoveryWarnInterval = 10 * time.Second
 
@@ -222,15 +218,6 @@
 	}
 }
 
-// decode decodes the body of the response to the call.
-func (c *discoveryCall) decode(body []byte) (EndpointList, error) {
-	list, err := decodeEndpointList(body, !c.isWatch)
-	if err == nil && c.isWatch && !list.Reset && list.Generation < c.since {
-		err = errOlderGeneration
-	}
-	return list, err
-}
-
 // handleList passes a list to onList. It ends all other calls to the same address and to earlier ones, whose responses
 // could be older.
 func (w *discoveryWatcher) handleList(result discoveryResult, list EndpointList) {
--- a/internal/gateway/discoverycall.go
+++ b/internal/gateway/discoverycall.go
@@ -27,6 +27,9 @@
 	errListTooLong = errors.New("the endpoint list is too long")
 	// errListStalled is returned if no byte of a response body arrived for bodyStallTimeout.
 	errListStalled = errors.New("the body of the response has stalled")
+	// errOlderGeneration is returned for changes up to a generation before the one in the query: another process of
+	// discovery has sent them, which counts from the beginning. What it has told before is not known.
+	errOlderGeneration = errors.New("the changes have an older generation than the list they apply to")
 )
 
 // invalidListError reports a response from discovery that holds no valid list. Discovery may have rejected the
@@ -138,12 +141,24 @@
 		return nil, reservation{}, err
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
+	switch {
+	case resp.StatusCode != http.StatusOK:
 		return nil, reservation{}, &invalidListError{status: resp.Status}
-	}
-	if resp.ContentLength > maxListBytes {
+	case resp.ContentLength > maxListBytes:
 		return nil, reservation{}, &invalidListError{cause: errListTooLong}
 	}
+	body, memory, err := receiveList(ctx, cancel, resp, budget)
+	if err != nil && errors.Is(context.Cause(ctx), errListStalled) {
+		err = errListStalled
+	}
+	return body, memory, err
+}
+
+// receiveList reads the body of a response after it has taken memory for it. If the body stalls, receiveList cancels ctx,
+// the context of the response, with errListStalled.
+func receiveList(
+	ctx context.Context, cancel context.CancelCauseFunc, resp *http.Response, budget *memoryBudget,
+) ([]byte, reservation, error) {
 	size := resp.ContentLength
 	if size < 0 {
 		size = firstBufferBytes
@@ -157,9 +172,6 @@
 	body, err := readListBody(reader, resp.ContentLength, &memory)
 	if err != nil {
 		memory.release()
-		if cause := context.Cause(ctx); errors.Is(cause, errListStalled) {
-			err = cause
-		}
 		return nil, reservation{}, err
 	}
 	return body, memory, nil
@@ -169,9 +181,7 @@
 // the body, or of firstBufferBytes if the length is negative; a longer body takes more.
 func readListBody(r io.Reader, length int64, memory *reservation) ([]byte, error) {
 	if length >= 0 {
-		body := make([]byte, length)
-		_, err := io.ReadFull(r, body)
-		return body, err
+		return readExactly(r, length)
 	}
 	body := make([]byte, 0, firstBufferBytes)
 	for {
@@ -205,6 +215,15 @@
 	return append(make([]byte, 0, size), body...), nil
 }
 
+// decode decodes the body of the response to the call.
+func (c *discoveryCall) decode(body []byte) (EndpointList, error) {
+	list, err := decodeEndpointList(body, !c.isWatch)
+	if err == nil && c.isWatch && !list.Reset && list.Generation < c.since {
+		err = errOlderGeneration
+	}
+	return list, err
+}
+
 // stallReader reads a body and calls a function if no byte arrives for bodyStallTimeout.
 type stallReader struct {
 	body  io.Reader
--- a/internal/gateway/discoverycall_test.go
+++ b/internal/gateway/discoverycall_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -12,6 +13,15 @@
 	"testing"
 )
 
+// callDiscovery makes one call for the full list to a discovery service with the given handler.
+func callDiscovery(budget *memoryBudget, handler http.HandlerFunc) discoveryResult {
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	source := newDiscoverySource(server.Listener.Addr().String(), 0, 1, new(net.Dialer).DialContext)
+	defer source.client.CloseIdleConnections()
+	return (&discoveryCall{source: source}).do(context.Background(), budget)
+}
+
 // A body takes memory from the budget before it is read, whether or not its length is stated. A body of maxListBytes is
 // read, a longer one is an invalid list, and the memory is given back in each case.
 func TestListBodiesTakeMemoryFromBudget(t *testing.T) {
@@ -29,18 +39,15 @@
 		{maxListBytes + 1, false, listsMemory, errListTooLong},
 		{maxListBytes, false, maxListBytes, errMemoryExhausted}, // the copy of a body that grows has no place
 	} {
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		budget := newMemoryBudget(listsKind, c.budget, slog.New(slog.DiscardHandler))
+		result := callDiscovery(budget, func(w http.ResponseWriter, _ *http.Request) {
 			if c.statesLength {
 				w.Header().Set("Content-Length", strconv.Itoa(c.length))
 			} else {
 				w.(http.Flusher).Flush()
 			}
 			io.WriteString(w, strings.Repeat("x", c.length))
-		}))
-		budget := newMemoryBudget(listsKind, c.budget, slog.New(slog.DiscardHandler))
-		w := newDiscoveryWatcher("", 0, true, nil)
-		source := newDiscoverySource(server.Listener.Addr().String(), 0, 1, w.dial)
-		result := (&discoveryCall{source: source}).do(context.Background(), budget)
+		})
 		if !errors.Is(result.err, c.wantErr) || result.err == nil && len(result.body) != c.length {
 			t.Errorf("%+v: %d bytes, %v", c, len(result.body), result.err)
 		}
@@ -51,8 +58,6 @@
 		if held := budget.held.Load(); held != 0 {
 			t.Errorf("%+v: %d bytes held after the release", c, held)
 		}
-		source.client.CloseIdleConnections()
-		server.Close()
 	}
 }
 
@@ -60,17 +65,13 @@
 // keep the memory from the body of the next call until maxCallTime.
 func TestStalledListBodyIsGivenUp(t *testing.T) {
 	t.Parallel()
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+	budget := newMemoryBudget(listsKind, listsMemory, slog.Default())
+	result := callDiscovery(budget, func(w http.ResponseWriter, req *http.Request) {
 		w.Header().Set("Content-Length", "100")
 		io.WriteString(w, "half")
 		w.(http.Flusher).Flush()
 		<-req.Context().Done()
-	}))
-	t.Cleanup(server.Close)
-	budget := newMemoryBudget(listsKind, listsMemory, slog.Default())
-	w := newDiscoveryWatcher("", 0, true, nil)
-	source := newDiscoverySource(server.Listener.Addr().String(), 0, 1, w.dial)
-	result := (&discoveryCall{source: source}).do(context.Background(), budget)
+	})
 	if !errors.Is(result.err, errListStalled) || !isGivenUp(result.err) {
 		t.Errorf("error %v", result.err)
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -103,9 +103,8 @@
 		s.components.Go(func() { s.counter.run(s.componentsContext) })
 	}
 	s.components.Go(func() { s.discovery.run(s.componentsContext) })
-	hasCachedList := s.config.hasCachedList()
 	s.cachedListTimer = time.AfterFunc(cachedListDelay, func() {
-		if hasCachedList {
+		if s.config.hasCachedList() {
 			s.markReady("cached")
 		}
 	})
--- a/internal/lab/soak/doc.go
+++ b/internal/lab/soak/doc.go
@@ -1,7 +1,6 @@
 // Package soak runs gateways, each in its own process, injects random faults, and checks the outcome of every request.
-// Gateways get signals, are paused, killed and restarted. Backends hang, drain and return, and discovery has outages and, in
-// some runs, slow responses.
-// Clients use a connection until the gateway closes it or gets SIGKILL. Some clients write slowly or disconnect. Idle
+// Gateways get signals, are paused, killed and restarted. Backends hang, drain and return. Discovery has outages and, in
+// some runs, slow responses. Clients use a connection until the gateway closes it or gets SIGKILL. Some clients write slowly or disconnect. Idle
 // connections can use up the file descriptors of a gateway. Proxies in front of gateways and backends delay and split
 // bytes. The proxies in front of backends also reset connections. In some runs, bad clients send long requests without
 // their last byte to gateways with little memory.
--- a/internal/lab/soak/standins.go
+++ b/internal/lab/soak/standins.go
@@ -36,7 +36,8 @@
 			return err
 		}
 	}
-	s.discovery = discovery.New(slices.Clone(s.entries), discovery.Options{ResponseTime: plan.SlowDiscovery.newResponseTime(clock)})
+	options := discovery.Options{ResponseTime: plan.SlowDiscovery.newResponseTime(clock)}
+	s.discovery = discovery.New(slices.Clone(s.entries), options)
 	// Discovery is started without ctx's cancellation, since gateways still need discovery while they are stopped at the
 	// end of the run.
 	address, err := s.discovery.Start(context.WithoutCancel(ctx))
